--- /dev/null
+++ b/src/app/entry_process.cc
@@ -0,0 +1,405 @@
+#include <csignal>
+#include <cstring>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "app/processes.h"
+#include "app/state_dump.h"
+#include "base/log.h"
+#include "base/loop.h"
+#include "base/metrics.h"
+#include "callers/callers.h"
+#include "decisions/entry_node.h"
+#include "decisions/topology_settings.h"
+#include "endpoints/endpoints.h"
+#include "operators/operators.h"
+#include "peers/peers.h"
+#include "store/store.h"
+
+namespace sassafras {
+
+namespace {
+
+constexpr char kPart[] = "entry";
+
+// Headers that belong to one connection only or that the system itself sets.
+bool IsForwarded(const std::string& name) {
+  static constexpr const char* kDropped[] = {"Connection",
+                                             "Keep-Alive",
+                                             "Proxy-Authenticate",
+                                             "TE",
+                                             "Trailer",
+                                             "Transfer-Encoding",
+                                             "Upgrade",
+                                             "Host",
+                                             "Content-Length",
+                                             "Expect",
+                                             "Request-Timeout",
+                                             "Request-Deadline",
+                                             "Sassafras-Exchange"};
+  for (const char* it : kDropped) {
+    if (strcasecmp(name.c_str(), it) == 0)
+      return false;
+  }
+  return true;
+}
+
+// Binds the entry node to sockets, timers and the log.
+class EntryProcess {
+ public:
+  explicit EntryProcess(const Settings& settings)
+      : settings_(settings),
+        node_(MakeTopology(settings),
+              MakeSelf(settings),
+              std::random_device()()),
+        endpoints_(MakeEndpointClient(loop_)),
+        store_(ConnectStore(loop_, settings.store, settings.store_timeout)) {
+    node_.control = ControlPeerId(settings.host->name);
+    node_.ledger.limits.max_records = settings.ledger.max_records;
+    node_.ledger.limits.max_answer_bytes = settings.ledger.max_answer_bytes;
+    node_.ledger.limits.max_answer_size = settings.ledger.max_answer_size;
+    node_.ledger.limits.retention = settings.ledger.retention;
+    node_.limits.outcome_retention = settings.ledger.retention;
+    AddSeeds();
+  }
+
+  int Run() {
+    return TryOr(
+        [&]() -> Result<int> {
+          BOOST_LEAF_CHECK(Start());
+          loop_.Run();
+          return int{kExitOk};
+        },
+        [](const Error& e) {
+          LogLine(LogLevel::kError, kPart, "Start failed.")
+              .With("error", e.ToString());
+          return int{kExitFailed};
+        });
+  }
+
+ private:
+  struct OpenCall {
+    Call call;
+    std::shared_ptr<BytePipe> body;  // Of a streamed body, once it is read.
+    Time arrived;
+  };
+
+  void AddSeeds() {
+    HostList list;
+    for (const SeedSettings& it : settings_.seeds) {
+      Host host;
+      host.id = it.host;
+      host.region = it.region;
+      host.zone = it.zone;
+      host.caller_address = it.caller_address;
+      host.peer_address = it.peer_address;
+      list.hosts.push_back(std::move(host));
+    }
+    SetListedHosts(node_.membership, list);
+  }
+
+  Result<void> Start() {
+    MeshConfig mesh;
+    mesh.self = node_.self.id;
+    mesh.listen = settings_.host->peer_address;
+    mesh.deployment = settings_.deployment;
+    mesh.key = settings_.peer_key;
+    BOOST_LEAF_ASSIGN(
+        mesh_,
+        StartMesh(
+            loop_, mesh, [this](const HostId& id) { return AddressOfPeer(id); },
+            [this](const HostId& from, Message message) {
+              Feed(PeerMessage{from, std::move(message)});
+            }));
+    StateSource source;
+    source.dump = [this](const std::string& part) { return Dump(part); };
+    source.metrics = [this] { return ExposeMetrics(); };
+    BOOST_LEAF_ASSIGN(
+        operators_,
+        StartOperatorServer(loop_, settings_.host->operator_address, source));
+    BOOST_LEAF_CHECK(StartCallers());
+    OnSignals();
+    Do(StartEntry(node_, loop_.Now()));
+    LogLine(LogLevel::kInfo, kPart, "Started.")
+        .With("host", node_.self.id)
+        .With("zone", node_.self.zone);
+    return {};
+  }
+
+  Result<void> StartCallers() {
+    CallersConfig config;
+    config.server.listen = settings_.host->caller_address;
+    config.server.max_connections =
+        static_cast<unsigned>(settings_.limits.max_connections);
+    config.server.idle_timeout = settings_.limits.idle_timeout;
+    config.max_keyed_body_bytes = settings_.limits.max_keyed_body_bytes;
+    config.topology = &node_.topology;
+    CallersHandler handler;
+    handler.look_up = [this](uint32_t ip) {
+      ++lookups_;
+      return AnswerLookup(node_, ip);
+    };
+    handler.is_ready = [this] { return IsReady(node_); };
+    handler.on_call = [this](Call call) { Open(std::move(call)); };
+    BOOST_LEAF_ASSIGN(callers_,
+                      StartCallerServer(loop_, config, std::move(handler)));
+    return {};
+  }
+
+  void OnSignals() {
+    const auto stop = [this] { Feed(StopRequested{}); };
+    signals_.push_back(loop_.OnSignal(SIGTERM, [this, stop] {
+      stop();
+      if (!stop_timer_) {
+        stop_timer_ = loop_.After(settings_.limits.stop_timeout,
+                                  [this] { loop_.Stop(); });
+      }
+    }));
+    signals_.push_back(loop_.OnSignal(SIGUSR1, [this] {
+      LogLine(LogLevel::kInfo, kPart, "State.").With("state", Dump(""));
+    }));
+  }
+
+  std::optional<Address> AddressOfPeer(const HostId& id) const {
+    if (id == node_.control)
+      return settings_.host->control_peer_address;
+    const auto it = node_.membership.listed.find(id);
+    if (it == node_.membership.listed.end())
+      return std::nullopt;
+    return it->second.peer_address;
+  }
+
+  // ---- Events and actions ----
+
+  void Feed(const EntryEvent& event) { Do(Handle(node_, event, loop_.Now())); }
+
+  void Do(std::vector<EntryAction> actions) {
+    for (EntryAction& it : actions)
+      std::visit([this](auto& action) { DoOne(action); }, it);
+  }
+
+  void DoOne(const Envelope& envelope) {
+    mesh_->Send(envelope.to, envelope.message);
+  }
+
+  void DoOne(const RefuseCall& refuse) {
+    const auto it = calls_.find(refuse.exchange);
+    if (it == calls_.end())
+      return;
+    CountCall(it->second, "refused", refuse.problem.code);
+    const auto session = it->second.call.session;
+    session->set_on_gone(nullptr);
+    // The head of an answer that broke off later is already with the caller.
+    if (it->second.body && !it->second.body->is_ended())
+      session->Cut();
+    else
+      AnswerProblem(*session, refuse.problem);
+    calls_.erase(it);
+  }
+
+  void DoOne(const AnswerCall& answer) {
+    const auto it = calls_.find(answer.exchange);
+    if (it == calls_.end())
+      return;
+    CountCall(it->second, "answered", "from_record");
+    HttpHeaders headers = {{"Idempotent-Replay", "true"}};
+    if (!answer.answer.content_type.empty())
+      headers.emplace_back("Content-Type", answer.answer.content_type);
+    it->second.call.session->set_on_gone(nullptr);
+    it->second.call.session->Respond(answer.answer.status, headers,
+                                     answer.answer.body);
+    calls_.erase(it);
+  }
+
+  void DoOne(const Dispatch& dispatch) {
+    const auto it = calls_.find(dispatch.exchange);
+    if (it == calls_.end()) {
+      Feed(DispatchEnded{
+          dispatch.exchange, SlotOutcome::kCancelled, false, false, false, {}});
+      return;
+    }
+    endpoints_->Send(
+        RequestFor(it->second, dispatch),
+        [this, id = dispatch.exchange](const EndpointAnswer& answer) {
+          AnswerHead(id, answer);
+        },
+        [this, id = dispatch.exchange](EndpointResult result) {
+          EndDispatch(id, std::move(result));
+        });
+  }
+
+  void DoOne(const CancelDispatch& cancel) {
+    endpoints_->Cancel(cancel.exchange);
+    calls_.erase(cancel.exchange);
+  }
+
+  void DoOne(const FollowStore& follow) {
+    followers_.clear();
+    if (!follow.follow)
+      return;
+    for (const DocumentKind kind : kAllDocumentKinds) {
+      followers_.push_back(store_->Follow(
+          std::string(NameOf(kind)),
+          [this, kind](std::vector<StoreObject> objects, bool complete) {
+            Feed(StoreObjects{kind, std::move(objects), complete});
+          }));
+    }
+  }
+
+  void DoOne(const WriteStatus& write) {
+    store_->PutIf(write.put, [this](StoreReply reply) {
+      Feed(StatusWritten{std::move(reply)});
+    });
+  }
+
+  void DoOne(const SetTimer& timer) {
+    const Duration delay = std::max(Duration(0), timer.at - loop_.Now());
+    timer_ = loop_.After(delay, [this] { Feed(TimerFired{WallNow()}); });
+  }
+
+  void DoOne(const LogEvent& log) {
+    WriteLog(LogLevel::kInfo, log.part, log.text);
+  }
+
+  void DoOne(const Exit&) { loop_.Stop(); }
+
+  // ---- Calls ----
+
+  void Open(Call call) {
+    const ExchangeId id = NewExchange(node_);
+    call.arrived.exchange = id;
+    call.session->set_on_gone([this, id] {
+      Feed(CallerGone{id});
+      // A request with a key runs on without its caller.
+      const auto it = calls_.find(id);
+      if (it != calls_.end() && it->second.call.arrived.key.empty())
+        calls_.erase(it);
+    });
+    const CallArrived arrived = call.arrived;
+    calls_[id] = OpenCall{std::move(call), nullptr, loop_.Now()};
+    Feed(arrived);
+  }
+
+  EndpointRequest RequestFor(OpenCall& open, const Dispatch& dispatch) {
+    const Call& call = open.call;
+    EndpointRequest request;
+    request.exchange = dispatch.exchange;
+    request.address = dispatch.address;
+    request.method = call.session->method();
+    request.target = call.target;
+    request.timeout = dispatch.timeout;
+    request.shed_header =
+        node_.topology.services.at(call.arrived.service).shed_header;
+    request.buffer_bytes = settings_.limits.stream_buffer_bytes;
+    request.keep_bytes =
+        call.arrived.key.empty() ? 0 : settings_.ledger.max_answer_size;
+    for (auto& [name, value] : call.session->Headers()) {
+      if (IsForwarded(name))
+        request.headers.emplace_back(name, value);
+    }
+    request.headers.emplace_back("Request-Timeout",
+                                 std::to_string(Seconds(dispatch.timeout)));
+    request.whole_body = call.whole_body;
+    if (!call.streams_body)
+      return request;
+    request.body_length = call.session->content_length();
+    if (!open.body) {
+      open.body = call.session->StreamBody(settings_.limits.stream_buffer_bytes,
+                                           call.max_body_bytes);
+    }
+    request.body = open.body;
+    return request;
+  }
+
+  void AnswerHead(ExchangeId id, const EndpointAnswer& answer) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end())
+      return;
+    HttpHeaders headers;
+    for (const auto& [name, value] : answer.headers) {
+      if (IsForwarded(name))
+        headers.emplace_back(name, value);
+    }
+    it->second.call.session->RespondStream(answer.status, headers,
+                                           answer.length, answer.body);
+  }
+
+  void EndDispatch(ExchangeId id, EndpointResult result) {
+    const auto it = calls_.find(id);
+    DispatchEnded ended;
+    ended.exchange = id;
+    ended.outcome = result.outcome;
+    ended.answer_begun = result.answer_begun;
+    ended.replayable = !result.body_consumed;
+    ended.answer_kept = result.answer_kept;
+    ended.answer = std::move(result.answer);
+    const bool whole = ended.outcome == SlotOutcome::kAnswered ||
+                       ended.outcome == SlotOutcome::kFailed;
+    if (it != calls_.end() && (whole || result.answer_begun)) {
+      CountCall(it->second, whole ? "answered" : "cut", "");
+      calls_.erase(it);
+    }
+    Feed(ended);
+  }
+
+  void CountCall(const OpenCall& open,
+                 const std::string& result,
+                 const std::string& code) {
+    const CallArrived& arrived = open.call.arrived;
+    const std::string labels =
+        "service=\"" + arrived.service.value() + "\",priority=\"" +
+        std::string(NameOf(arrived.route.priority)) + "\",result=\"" + result +
+        "\",code=\"" + code + "\"";
+    metrics_.Count("sassafras_calls_total", labels);
+    metrics_.Observe("sassafras_call_seconds", labels,
+                     loop_.Now() - open.arrived);
+  }
+
+  std::string Dump(const std::string& part) {
+    return DumpEntry(node_, *mesh_, part, loop_.Now());
+  }
+
+  std::string ExposeMetrics() {
+    std::string text = metrics_.Expose();
+    const auto line = [&](const char* name, uint64_t value) {
+      text += std::string(name) + " " + std::to_string(value) + "\n";
+    };
+    line("sassafras_lookups_total", lookups_);
+    line("sassafras_peer_bytes_sent_total", mesh_->BytesSent());
+    line("sassafras_peer_bytes_received_total", mesh_->BytesReceived());
+    line("sassafras_peers_connected", mesh_->ConnectedCount());
+    line("sassafras_exchanges_open", node_.exchanges.size());
+    line("sassafras_ledger_records", node_.ledger.record_count);
+    return text;
+  }
+
+  const Settings& settings_;
+  Loop loop_;
+  Metrics metrics_;
+  EntryNode node_;
+  std::unique_ptr<EndpointClient> endpoints_;
+  std::unique_ptr<Store> store_;
+  std::unique_ptr<Mesh> mesh_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> operators_;
+  std::vector<std::unique_ptr<Watch>> followers_;
+  std::vector<std::unique_ptr<Watch>> signals_;
+  std::unique_ptr<Watch> timer_;
+  std::unique_ptr<Watch> stop_timer_;
+  std::unordered_map<ExchangeId, OpenCall> calls_;
+  uint64_t lookups_ = 0;
+};
+
+}  // namespace
+
+HostId ControlPeerId(const HostId& host) {
+  return HostId(host.value() + "/control");
+}
+
+int RunEntry(const Settings& settings) {
+  return EntryProcess(settings).Run();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,176 @@
+// The sassafrasdeck binary: one sub-command per process and per operator's
+// task.
+
+#include <curl/curl.h>
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+#include "app/processes.h"
+#include "base/log.h"
+#include "operators/operators.h"
+
+namespace {
+
+using sassafras::Settings;
+using sassafras::SheetOptions;
+
+constexpr char kVersion[] = "0.1.0";
+
+constexpr char kFooter[] =
+    "Examples:\n"
+    "  sassafrasdeck settings check data/heladeras.toml\n"
+    "  sassafrasdeck entry --settings host.toml\n"
+    "  sassafrasdeck control --settings host.toml\n"
+    "  sassafrasdeck sheet check data/sheets/heladeras.csv --settings "
+    "data/heladeras.toml\n"
+    "  sassafrasdeck sheet load data/sheets/heladeras.csv --settings "
+    "data/heladeras.toml --operator ana --wait\n"
+    "  sassafrasdeck lookup --entry 127.0.1.1:7000 --service rounds --client "
+    "10.1.2.3\n"
+    "  sassafrasdeck state 127.0.1.1:7200 --part members\n"
+    "Exit codes are listed in docs/OPERATING.md.";
+
+// Reads a process's settings; nothing after their faults were printed.
+std::optional<Settings> ProcessSettings(const std::string& file) {
+  auto reading = sassafras::ReadSettings(file);
+  if (reading.faults.empty() && !reading.settings.host)
+    reading.faults.push_back({file, 1, 1, "deployment_file",
+                              "is missing: a process needs a host's file"});
+  for (const auto& it : reading.faults)
+    std::cerr << it.ToString() << '\n';
+  if (!reading.faults.empty())
+    return std::nullopt;
+  return std::move(reading.settings);
+}
+
+int RunProcess(const std::string& file, int (*run)(const Settings&)) {
+  const auto settings = ProcessSettings(file);
+  if (!settings)
+    return sassafras::kExitBadSettings;
+  sassafras::InitLog(settings->log_level);
+  return run(*settings);
+}
+
+// Options that all sheet commands share.
+void AddSheetOptions(CLI::App& command, SheetOptions& options) {
+  command.add_option("--settings", options.settings_file, "Settings file")
+      ->required();
+  command.add_flag("--json", options.json, "Print the report as JSON");
+}
+
+struct CommandLine {
+  std::string settings_file;
+  std::string entry;
+  std::string service;
+  std::string client;
+  std::string address;
+  std::string part;
+  SheetOptions sheet;
+  int64_t wait_seconds = 30;
+  std::function<int()> run;
+};
+
+void AddProcesses(CLI::App& app, CommandLine& line) {
+  CLI::App* entry = app.add_subcommand("entry", "Run an entry host's process");
+  entry->add_option("--settings", line.settings_file, "Host's settings file")
+      ->required();
+  entry->callback([&line] {
+    line.run = [&line] {
+      return RunProcess(line.settings_file, &sassafras::RunEntry);
+    };
+  });
+  CLI::App* control =
+      app.add_subcommand("control", "Run a host's control process");
+  control->add_option("--settings", line.settings_file, "Host's settings file")
+      ->required();
+  control->callback([&line] {
+    line.run = [&line] {
+      return RunProcess(line.settings_file, &sassafras::RunControl);
+    };
+  });
+}
+
+void AddQueries(CLI::App& app, CommandLine& line) {
+  CLI::App* settings = app.add_subcommand("settings", "Work on settings");
+  settings->require_subcommand(1);
+  CLI::App* check = settings->add_subcommand("check", "Check a settings file");
+  check->add_option("file", line.settings_file, "Settings file")->required();
+  check->callback([&line] {
+    line.run = [&line] {
+      return sassafras::RunSettingsCheck(line.settings_file);
+    };
+  });
+  CLI::App* lookup =
+      app.add_subcommand("lookup", "Show what a caller would be told");
+  lookup->add_option("--entry", line.entry, "Caller address of an entry host")
+      ->required();
+  lookup->add_option("--service", line.service, "Service")->required();
+  lookup->add_option("--client", line.client, "Client's IP number")->required();
+  lookup->callback([&line] {
+    line.run = [&line] {
+      return sassafras::RunLookup(line.entry, line.service, line.client);
+    };
+  });
+  CLI::App* state = app.add_subcommand("state", "Show a process's state");
+  state->add_option("address", line.address, "Operator address")->required();
+  state->add_option("--part", line.part, "Only this part");
+  state->callback([&line] {
+    line.run = [&line] { return sassafras::RunState(line.address, line.part); };
+  });
+}
+
+void AddSheetCommands(CLI::App& app, CommandLine& line) {
+  CLI::App* sheet = app.add_subcommand("sheet", "Work on the morning sheet");
+  sheet->require_subcommand(1);
+  CLI::App* check = sheet->add_subcommand("check", "Judge a sheet's rows");
+  check->add_option("file", line.sheet.sheet_file, "CSV file")->required();
+  AddSheetOptions(*check, line.sheet);
+  check->callback([&line] {
+    line.run = [&line] { return sassafras::RunSheetCheck(line.sheet); };
+  });
+  CLI::App* load = sheet->add_subcommand("load", "Load a sheet as the intent");
+  load->add_option("file", line.sheet.sheet_file, "CSV file")->required();
+  load->add_option("--operator", line.sheet.operator_name, "Who loads it")
+      ->required();
+  load->add_option("--load-id", line.sheet.load_id,
+                   "Id of an earlier load whose outcome is unknown");
+  load->add_flag("--wait", line.sheet.wait,
+                 "Wait until it is in force on every host");
+  load->add_option("--wait-seconds", line.wait_seconds, "Longest wait")
+      ->check(CLI::Range(1, 3600));
+  AddSheetOptions(*load, line.sheet);
+  load->callback([&line] {
+    line.run = [&line] {
+      line.sheet.wait_time = std::chrono::seconds(line.wait_seconds);
+      return sassafras::RunSheetLoad(line.sheet);
+    };
+  });
+  CLI::App* status =
+      sheet->add_subcommand("status", "Show which version is in force where");
+  AddSheetOptions(*status, line.sheet);
+  status->callback([&line] {
+    line.run = [&line] { return sassafras::RunSheetStatus(line.sheet); };
+  });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  CLI::App app("Global traffic steering by declared intents.", "sassafrasdeck");
+  app.set_version_flag("--version", kVersion);
+  app.footer(kFooter);
+  app.require_subcommand(1);
+  CommandLine line;
+  AddProcesses(app, line);
+  AddQueries(app, line);
+  AddSheetCommands(app, line);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    const int code = app.exit(e);
+    return code == 0 ? sassafras::kExitOk : sassafras::kExitUsage;
+  }
+  return line.run();
+}
--- /dev/null
+++ b/src/base/hash.h
@@ -0,0 +1,21 @@
+// Hash functions that every process computes alike.
+#ifndef BASE_HASH_H_
+#define BASE_HASH_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace sassafras {
+
+// 64-bit hash of `text`, the same on every host and release.
+uint64_t HashText(std::string_view text, uint64_t seed = 0);
+
+// Mixes two hashes into one.
+uint64_t HashPair(uint64_t a, uint64_t b);
+
+// Maps a hash evenly onto [0, 1).
+double UnitInterval(uint64_t hash);
+
+}  // namespace sassafras
+
+#endif  // BASE_HASH_H_
--- /dev/null
+++ b/src/base/http_client.h
@@ -0,0 +1,48 @@
+// HTTP requests through libcurl's multi interface on the event loop.
+#ifndef BASE_HTTP_CLIENT_H_
+#define BASE_HTTP_CLIENT_H_
+
+#include <curl/curl.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "base/loop.h"
+
+namespace sassafras {
+
+// Drives the transfers that are added to it.
+class CurlDriver {
+ public:
+  // `max_connections` bounds the pool of kept connections.
+  CurlDriver(Loop& loop, long max_connections);
+  ~CurlDriver();
+  CurlDriver(const CurlDriver&) = delete;
+  CurlDriver& operator=(const CurlDriver&) = delete;
+
+  // Starts a transfer. `on_done` is called once, on a later turn of the loop,
+  // when it has ended; the handle is then no longer part of the driver.
+  void Add(CURL* easy, std::function<void(CURLcode)> on_done);
+  // Ends a transfer without calling its `on_done`.
+  void Remove(CURL* easy);
+
+ private:
+  static int OnSocket(CURL*, curl_socket_t fd, int what, void* self, void*);
+  static int OnTimer(CURLM*, long timeout_ms, void* self);
+  void Action(curl_socket_t fd, int events);
+  void CollectDone();
+
+  Loop& loop_;
+  CURLM* multi_;
+  std::map<curl_socket_t, std::unique_ptr<Watch>> sockets_;
+  std::unique_ptr<Watch> timer_;
+  std::unordered_map<CURL*, std::function<void(CURLcode)>> transfers_;
+  // Ends callbacks that were posted before the driver's end.
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace sassafras
+
+#endif  // BASE_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,59 @@
+// Structured logs: a fixed prefix per part, then a short sentence and
+// key=value pairs.
+#ifndef BASE_LOG_H_
+#define BASE_LOG_H_
+
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/names_table.h"
+
+namespace sassafras {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+template <>
+struct NamesTable<LogLevel> {
+  static constexpr EnumName<LogLevel> kNames[] = {
+      {LogLevel::kDebug, "debug"},
+      {LogLevel::kInfo, "info"},
+      {LogLevel::kWarning, "warning"},
+      {LogLevel::kError, "error"},
+  };
+};
+
+// Sets up the process's log on standard error; lines below `level` are
+// dropped.
+void InitLog(LogLevel level);
+
+// Writes one line. `part` is the fixed prefix, such as "entry".
+void WriteLog(LogLevel level, std::string_view part, const std::string& text);
+
+// Collects the key=value pairs of one line and writes it when destroyed.
+class LogLine {
+ public:
+  LogLine(LogLevel level, std::string_view part, std::string_view sentence)
+      : level_(level), part_(part) {
+    os_ << sentence;
+  }
+  ~LogLine() { WriteLog(level_, part_, os_.str()); }
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  template <typename T>
+  LogLine& With(std::string_view key, const T& value) {
+    os_ << ' ' << key << '=' << value;
+    return *this;
+  }
+
+ private:
+  LogLevel level_;
+  std::string_view part_;
+  std::ostringstream os_;
+};
+
+}  // namespace sassafras
+
+#endif  // BASE_LOG_H_
--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,39 @@
+// Latency histograms and counters of a process, in the text exposition
+// format.
+#ifndef BASE_METRICS_H_
+#define BASE_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+
+namespace sassafras {
+
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  // Adds `n` to the counter `name` with its `labels`, such as `code="ok"`.
+  void Count(const std::string& name,
+             const std::string& labels,
+             uint64_t n = 1);
+  // Records a duration in the histogram `name`.
+  void Observe(const std::string& name,
+               const std::string& labels,
+               Duration value);
+  // All series as text.
+  std::string Expose() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace sassafras
+
+#endif  // BASE_METRICS_H_
--- /dev/null
+++ b/src/base/socket.cc
@@ -0,0 +1,97 @@
+#include "base/socket.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+constexpr int kBacklog = 512;
+
+sockaddr_in SockaddrOf(const Address& address) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr);
+  return out;
+}
+
+leaf::error_id Fail(const char* step, const Address& address) {
+  return leaf::new_error(Error{ErrorCode::kUnavailable, step,
+                               address.ToString(), std::strerror(errno)});
+}
+
+Socket NewSocket() {
+  Socket socket(
+      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  return socket;
+}
+
+}  // namespace
+
+void Socket::Close() {
+  if (fd_ >= 0)
+    ::close(fd_);
+  fd_ = -1;
+}
+
+Result<Socket> Listen(const Address& address) {
+  Socket socket = NewSocket();
+  const sockaddr_in to = SockaddrOf(address);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&to);
+  if (::bind(socket.fd(), raw, sizeof(to)) != 0)
+    return Fail("bind", address);
+  if (::listen(socket.fd(), kBacklog) != 0)
+    return Fail("listen", address);
+  return socket;
+}
+
+Result<Socket> StartConnect(const Address& address,
+                            const std::string& from_ip) {
+  Socket socket = NewSocket();
+  if (!from_ip.empty()) {
+    const int on = 1;
+    setsockopt(socket.fd(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
+               sizeof(on));
+    const sockaddr_in from = SockaddrOf({from_ip, 0});
+    const auto* raw_from = reinterpret_cast<const sockaddr*>(&from);
+    if (::bind(socket.fd(), raw_from, sizeof(from)) != 0)
+      return Fail("bind", {from_ip, 0});
+  }
+  const sockaddr_in to = SockaddrOf(address);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&to);
+  if (::connect(socket.fd(), raw, sizeof(to)) != 0 && errno != EINPROGRESS)
+    return Fail("connect", address);
+  return socket;
+}
+
+Socket AcceptConnection(const Socket& listener) {
+  Socket socket(
+      ::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (socket.valid()) {
+    const int on = 1;
+    setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  }
+  return socket;
+}
+
+bool IsConnected(const Socket& socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(socket.fd(), SOL_SOCKET, SO_ERROR, &error, &size);
+  return error == 0;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/control_decide.cc
@@ -0,0 +1,318 @@
+#include <algorithm>
+#include <utility>
+
+#include "decisions/control_parts.h"
+#include "decisions/json_forms.h"
+
+namespace sassafras::control_parts {
+
+namespace {
+
+constexpr double kEvenMix = 1.0 / kPriorityCount;
+
+bool IsReporting(const ControlNode& node, const ZoneId& zone, Time now) {
+  const auto it = node.statuses.find(zone);
+  return it != node.statuses.end() &&
+         now - it->second.changed <= node.limits.report_age;
+}
+
+bool IsHeard(const ControlNode& node, const ZoneId& zone, Time now) {
+  const auto it = node.zone_beats.find(zone);
+  if (it == node.zone_beats.end() || it->second.second.up.empty())
+    return false;
+  const Duration age = now - it->second.first +
+                       std::chrono::milliseconds(it->second.second.age_ms);
+  return age <= node.limits.report_age;
+}
+
+// A zone is lost when neither its hosts nor its reports are heard of: one
+// that only stopped reporting, or that only this region cannot reach, goes on
+// serving.
+bool IsZoneLost(const ControlNode& node, const ZoneId& zone, Time now) {
+  return !IsHeard(node, zone, now) && !IsReporting(node, zone, now);
+}
+
+struct HostSets {
+  std::set<HostId> answering;
+  std::set<HostId> leaving;
+};
+
+HostSets KnownHosts(const ControlNode& node, Time now) {
+  HostSets out;
+  for (const auto& [zone, beat] : node.zone_beats) {
+    if (!IsHeard(node, zone, now))
+      continue;
+    out.answering.insert(beat.second.up.begin(), beat.second.up.end());
+    out.leaving.insert(beat.second.leaving.begin(), beat.second.leaving.end());
+  }
+  for (const auto& [zone, reports] : node.statuses) {
+    if (!IsReporting(node, zone, now))
+      continue;
+    for (const HostReport& it : reports.status.hosts) {
+      out.answering.insert(it.host);
+      if (it.leaving)
+        out.leaving.insert(it.host);
+    }
+  }
+  return out;
+}
+
+template <typename T>
+std::optional<T> ReadDocument(const ControlNode& node, const DocumentKey& key) {
+  const Replica::Entry* entry = Find(node.replica, key);
+  if (!entry)
+    return std::nullopt;
+  return TryReadPayload<T>(entry->document.payload);
+}
+
+void Write(Turn& turn, const DocumentKey& key, std::string payload) {
+  StorePut put;
+  put.kind = std::string(NameOf(key.kind));
+  put.name = key.name;
+  const auto it = turn.node.revisions.find(key);
+  put.expected_revision = it == turn.node.revisions.end() ? 0 : it->second;
+  put.value = std::move(payload);
+  CallStore(turn, std::move(put));
+}
+
+// Whether the store holds the newest version that this process knows. If it
+// does not (an old state of the store was restored, say), the newest one is
+// written back instead of being built upon.
+bool IsStoreCurrent(Turn& turn, const DocumentKey& key) {
+  const Replica::Entry* entry = Find(turn.node.replica, key);
+  if (!entry)
+    return true;
+  const auto it = turn.node.stored_versions.find(key);
+  if (it != turn.node.stored_versions.end() &&
+      it->second >= entry->document.version) {
+    return true;
+  }
+  Log(turn, "Store is behind; the newest version is written back. document=" +
+                key.name);
+  Write(turn, key, entry->document.payload);
+  return false;
+}
+
+// ---- Views ----
+
+ViewChangeInput ViewInput(const ControlNode& node,
+                          const HostList& hosts,
+                          const RegionId& region,
+                          Time now) {
+  const HostSets known = KnownHosts(node, now);
+  ViewChangeInput input;
+  for (const Host& it : hosts.hosts) {
+    if (it.region != region || known.answering.count(it.id) == 0)
+      continue;
+    if (it.leaving || known.leaving.count(it.id))
+      input.leaving.insert(it.id);
+    else
+      input.live.push_back(it);
+  }
+  for (const auto& [zone, reports] : node.statuses) {
+    if (!IsReporting(node, zone, now))
+      continue;
+    for (const HostReport& report : reports.status.hosts) {
+      if (report.region != region)
+        continue;
+      for (const SyncedShard& it : report.synced) {
+        ViewNumber& view = input.synced[it.shard];
+        view = std::max(view, it.view);
+      }
+    }
+  }
+  return input;
+}
+
+void DecideViews(Turn& turn, const HostList& hosts) {
+  ControlNode& node = turn.node;
+  for (const RegionId& region : node.topology.regions) {
+    const DocumentKey key{DocumentKind::kViews, region.value()};
+    if (!IsStoreCurrent(turn, key))
+      continue;
+    RegionViews views;
+    views.region = region;
+    if (Find(node.replica, key)) {
+      auto held = ReadDocument<RegionViews>(node, key);
+      if (!held)
+        continue;
+      views = std::move(*held);
+    }
+    const auto next =
+        ChangeViews(views, ViewInput(node, hosts, region, turn.now));
+    if (next)
+      Write(turn, key, Json(*next).dump());
+  }
+}
+
+// ---- Plans ----
+
+// Demand in slots, per service and zone. A fall is believed slowly.
+void Believe(ControlNode& node, Time now) {
+  std::map<std::pair<ServiceId, ZoneId>, double> offered;
+  for (const auto& [zone, reports] : node.statuses) {
+    if (!IsReporting(node, zone, now))
+      continue;
+    for (const HostReport& report : reports.status.hosts) {
+      for (const DemandSample& it : report.demand)
+        offered[{it.service, zone}] +=
+            it.requests_per_second * it.service_seconds;
+    }
+  }
+  const double elapsed =
+      node.believed_at == Time() ? 0 : Seconds(now - node.believed_at);
+  node.believed_at = now;
+  const double kept =
+      std::max(0.0, 1.0 - node.limits.demand_fall_per_second * elapsed);
+  for (auto& [key, slots] : node.believed_slots)
+    slots *= kept;
+  for (const auto& [key, slots] : offered) {
+    double& believed = node.believed_slots[key];
+    believed = std::max(believed, slots);
+  }
+}
+
+PerPriority<double> MixOf(const ControlNode& node,
+                          const ServiceId& service,
+                          Time now) {
+  PerPriority<double> slots{};
+  double sum = 0;
+  for (const auto& [zone, reports] : node.statuses) {
+    if (!IsReporting(node, zone, now))
+      continue;
+    for (const HostReport& report : reports.status.hosts) {
+      for (const DemandSample& it : report.demand) {
+        if (it.service != service)
+          continue;
+        const double busy = it.requests_per_second * it.service_seconds;
+        slots[IndexOf(it.priority)] += busy;
+        sum += busy;
+      }
+    }
+  }
+  for (double& it : slots)
+    it = sum > 0 ? it / sum : kEvenMix;
+  return slots;
+}
+
+std::map<ZoneId, ZoneMeasure> MeasuresOf(const ControlNode& node,
+                                         const ServiceId& service,
+                                         Time now) {
+  std::map<ZoneId, ZoneMeasure> out;
+  for (const auto& [key, slots] : node.believed_slots) {
+    if (key.first == service)
+      out[key.second].offered_slots = slots;
+  }
+  for (const auto& [zone, reports] : node.statuses) {
+    if (!IsReporting(node, zone, now))
+      continue;
+    for (const HostReport& report : reports.status.hosts) {
+      for (const SlotSample& it : report.slots) {
+        if (it.service == service)
+          out[it.zone].healthy_slots = it.healthy_slots;
+      }
+    }
+  }
+  return out;
+}
+
+// Age of the measurements that cover every zone which is not lost.
+std::optional<Duration> MeasurementAge(const ControlNode& node,
+                                       const std::set<ZoneId>& lost,
+                                       Time now) {
+  std::optional<Duration> oldest;
+  for (const Zone& zone : node.topology.zones) {
+    if (lost.count(zone.id))
+      continue;
+    const auto it = node.statuses.find(zone.id);
+    if (it == node.statuses.end())
+      return std::nullopt;
+    const Duration age = now - it->second.changed;
+    oldest = std::max(oldest.value_or(age), age);
+  }
+  return oldest;
+}
+
+bool IsLeaving(const Intent& intent, const EndpointId& endpoint) {
+  return std::any_of(
+      intent.leaving.begin(), intent.leaving.end(),
+      [&](const LeavingEndpoint& it) { return it.endpoint == endpoint; });
+}
+
+PlannerInput InputFor(const ControlNode& node,
+                      const Intent& intent,
+                      const ServiceId& service,
+                      Time now) {
+  PlannerInput in;
+  in.topology = &node.topology;
+  in.intent = &intent;
+  in.service = service;
+  in.now = now;
+  const auto endpoints = ReadDocument<EndpointList>(
+      node, {DocumentKind::kEndpoints, service.value()});
+  if (endpoints) {
+    for (const Endpoint& it : endpoints->endpoints) {
+      if (!it.leaving && !IsLeaving(intent, it.id))
+        in.listed_slots[it.zone] += it.slots;
+    }
+  }
+  for (const Zone& zone : node.topology.zones) {
+    const bool empty = in.listed_slots.count(zone.id) == 0;
+    if (empty || IsZoneLost(node, zone.id, now))
+      in.lost.insert(zone.id);
+  }
+  in.measured = MeasuresOf(node, service, now);
+  in.mix = MixOf(node, service, now);
+  in.measurement_age = MeasurementAge(node, in.lost, now);
+  return in;
+}
+
+void DecidePlan(Turn& turn, const Intent& intent, const ServiceId& service) {
+  ControlNode& node = turn.node;
+  const DocumentKey key{DocumentKind::kPlan, service.value()};
+  if (!IsStoreCurrent(turn, key))
+    return;
+  PlannerInput in = InputFor(node, intent, service, turn.now);
+  std::optional<ServicePlan> last;
+  const Replica::Entry* entry = Find(node.replica, key);
+  if (entry) {
+    last = TryReadPayload<ServicePlan>(entry->document.payload);
+    if (!last)
+      return;
+    in.last = &*last;
+    in.last_seen = entry->first_seen;
+  }
+  const auto next = NextPlan(in, node.limits.planner);
+  if (!next)
+    return;
+  Log(turn, "Plan is written. service=" + service.value() +
+                " version=" + std::to_string(next->version.value()));
+  Write(turn, key, Json(*next).dump());
+}
+
+}  // namespace
+
+void Decide(Turn& turn) {
+  ControlNode& node = turn.node;
+  Believe(node, turn.now);
+  const auto hosts =
+      ReadDocument<HostList>(node, {DocumentKind::kHosts, kSoleDocument});
+  // A leader that has just begun gives every zone the time to be heard.
+  const bool settled =
+      turn.now - node.leading_since >= node.limits.report_age ||
+      !node.zone_beats.empty();
+  if (hosts && settled)
+    DecideViews(turn, *hosts);
+  const DocumentKey key{DocumentKind::kIntent, kSoleDocument};
+  if (!IsStoreCurrent(turn, key))
+    return;
+  const auto intent = ReadDocument<Intent>(node, key);
+  if (!intent)
+    return;
+  for (const auto& [service, it] : intent->services) {
+    if (node.topology.services.count(service))
+      DecidePlan(turn, *intent, service);
+  }
+}
+
+}  // namespace sassafras::control_parts
--- /dev/null
+++ b/src/decisions/entry_keys.cc
@@ -0,0 +1,65 @@
+#include <utility>
+
+#include "decisions/entry_parts.h"
+
+namespace sassafras::entry_parts {
+
+namespace {
+
+constexpr int kIncarnationShift = 32;
+
+bool IsOwnerAlive(const EntryNode& node,
+                  const HostId& owner,
+                  ExchangeId exchange,
+                  Time now) {
+  const uint64_t incarnation = exchange.value() >> kIncarnationShift;
+  if (owner == node.self.id)
+    return incarnation == node.membership.incarnation;
+  if (StateOf(node.membership, owner, now) == HostState::kDead)
+    return false;
+  const auto it = node.membership.contacts.find(owner);
+  // Without direct contact the incarnation is not known; the host lives.
+  if (it == node.membership.contacts.end())
+    return true;
+  return it->second.incarnation == incarnation;
+}
+
+}  // namespace
+
+LedgerContext KeyContext(const Turn& turn) {
+  const EntryNode& node = turn.node;
+  const Time now = turn.now;
+  LedgerContext ctx;
+  ctx.now = now;
+  ctx.self = node.self.id;
+  const auto it = node.views.find(node.self.region);
+  ctx.views = it == node.views.end() ? nullptr : &it->second;
+  ctx.is_answering = [&node, now](const HostId& host) {
+    return StateOf(node.membership, host, now) != HostState::kDead;
+  };
+  ctx.is_owner_alive = [&node, now](const HostId& owner, ExchangeId exchange) {
+    return IsOwnerAlive(node, owner, exchange, now);
+  };
+  ctx.hears_majority =
+      HearsMajorityOfRegion(node.membership, node.self.region, now);
+  return ctx;
+}
+
+void TakeKeyMessage(Turn& turn, const HostId& from, const Message& message) {
+  Ledger& ledger = turn.node.ledger;
+  const LedgerContext ctx = KeyContext(turn);
+  if (const auto* it = std::get_if<KeyBegin>(&message))
+    SendAll(turn, OnKeyBegin(ledger, ctx, from, *it));
+  else if (const auto* it = std::get_if<KeyComplete>(&message))
+    SendAll(turn, OnKeyComplete(ledger, ctx, from, *it));
+  else if (const auto* it = std::get_if<KeyReplicate>(&message))
+    SendAll(turn, OnKeyReplicate(ledger, ctx, from, *it));
+  else if (const auto* it = std::get_if<KeyReplicated>(&message))
+    SendAll(turn, OnKeyReplicated(ledger, ctx, from, *it));
+}
+
+void KeysTick(Turn& turn) {
+  SendAll(turn, OnLedgerTick(turn.node.ledger, KeyContext(turn)));
+}
+
+}  // namespace sassafras::entry_parts
--- /dev/null
+++ b/src/decisions/entry_node.h
@@ -0,0 +1,331 @@
+// The logic of an entry host's process: look-ups, requests, slots, records of
+// idempotency keys, membership and the spreading of documents.
+//
+// Handle() takes one event with the time at which it happens and returns what
+// has to be done. The node reads no clock and opens no socket; any number of
+// nodes can live in one process.
+#ifndef DECISIONS_ENTRY_NODE_H_
+#define DECISIONS_ENTRY_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/priority.h"
+#include "base/time.h"
+#include "decisions/documents.h"
+#include "decisions/flow.h"
+#include "decisions/granter.h"
+#include "decisions/intent.h"
+#include "decisions/ledger.h"
+#include "decisions/lookup.h"
+#include "decisions/membership.h"
+#include "decisions/messages.h"
+#include "decisions/plan.h"
+#include "decisions/poison.h"
+#include "decisions/retry.h"
+#include "decisions/store_calls.h"
+#include "decisions/topology.h"
+#include "decisions/zone_status.h"
+
+namespace sassafras {
+
+// ---- Events ----
+
+struct PeerMessage {
+  HostId from;
+  Message message;
+};
+
+// Objects of a document kind as the store has them now.
+struct StoreObjects {
+  DocumentKind kind = DocumentKind::kHosts;
+  std::vector<StoreObject> objects;
+  bool complete = false;  // The whole list, not a change.
+};
+
+// The answer to a WriteStatus action.
+struct StatusWritten {
+  StoreReply reply;
+};
+
+// A caller's request whose headers (and, with a key, body) have arrived.
+struct CallArrived {
+  ExchangeId exchange;
+  ServiceId service;
+  Route route;
+  CallerId caller;
+  RequestKey key;  // Empty for requests without one.
+  Fingerprint fingerprint;
+  Fingerprint body;
+  Duration timeout{};
+};
+
+struct CallerGone {
+  ExchangeId exchange;
+};
+
+struct DispatchEnded {
+  ExchangeId exchange;
+  SlotOutcome outcome = SlotOutcome::kBroken;
+  bool replayable = false;
+  bool answer_begun = false;
+  // The whole answer, if it was small enough to be kept.
+  bool answer_kept = false;
+  StoredAnswer answer;
+};
+
+// The node's timer is due.
+struct TimerFired {
+  WallTime wall{};  // For what operators state as a date.
+};
+
+// The process was told to stop.
+struct StopRequested {};
+
+using EntryEvent = std::variant<PeerMessage,
+                                StoreObjects,
+                                StatusWritten,
+                                CallArrived,
+                                CallerGone,
+                                DispatchEnded,
+                                TimerFired,
+                                StopRequested>;
+
+// ---- Actions ----
+
+// Whether a refused request ran.
+enum class Ran { kNo, kYes, kUnknown };
+
+template <>
+struct NamesTable<Ran> {
+  static constexpr EnumName<Ran> kNames[] = {
+      {Ran::kNo, "no"},
+      {Ran::kYes, "yes"},
+      {Ran::kUnknown, "unknown"},
+  };
+};
+SASSAFRAS_ENUM_JSON(Ran);
+
+// An error answer to a caller.
+struct Problem {
+  int status = 503;
+  std::string code;
+  Ran ran = Ran::kUnknown;
+  Duration retry_after{};  // Zero for none.
+};
+
+struct RefuseCall {
+  ExchangeId exchange;
+  Problem problem;
+};
+
+// Answers a call with the kept answer of an earlier request.
+struct AnswerCall {
+  ExchangeId exchange;
+  StoredAnswer answer;
+};
+
+struct Dispatch {
+  ExchangeId exchange;
+  EndpointId endpoint;
+  Address address;
+  Duration timeout{};
+};
+
+struct CancelDispatch {
+  ExchangeId exchange;
+};
+
+// Starts or ends following the document kinds in the store.
+struct FollowStore {
+  bool follow = false;
+};
+
+struct WriteStatus {
+  StorePut put;
+};
+
+// Sets the time of the next TimerFired, replacing an earlier one.
+struct SetTimer {
+  Time at;
+};
+
+struct LogEvent {
+  std::string part;
+  std::string text;
+};
+
+// The node has nothing left to do.
+struct Exit {};
+
+using EntryAction = std::variant<Envelope,
+                                 RefuseCall,
+                                 AnswerCall,
+                                 Dispatch,
+                                 CancelDispatch,
+                                 FollowStore,
+                                 WriteStatus,
+                                 SetTimer,
+                                 LogEvent,
+                                 Exit>;
+
+// ---- State ----
+
+struct EntryLimits {
+  Duration tick = std::chrono::milliseconds(100);
+  Duration slot_tick = std::chrono::milliseconds(5);
+  Duration ask_again_after = std::chrono::milliseconds(300);
+  // A begun key is withdrawn this long before its caller's deadline.
+  Duration withdraw_margin = std::chrono::milliseconds(150);
+  Duration report_period = std::chrono::seconds(1);
+  Duration status_period = std::chrono::seconds(2);
+  // A stopping host serves for at least this long: the look-up TTL, the time
+  // that its heartbeats need, and a margin.
+  Duration least_stop_time = std::chrono::seconds(9);
+  // A stopping host does not wait longer for its shards to be handed over.
+  Duration most_stop_time = std::chrono::seconds(60);
+  Duration outcome_retention = std::chrono::minutes(20);
+  // Zones heard for the first time within this time were there before.
+  Duration start_grace = std::chrono::seconds(10);
+  // Cautious part of the slots while granting for a zone that is not heard.
+  double unheard_zone_slot_share = 0.25;
+};
+
+struct Exchange {
+  enum class Phase { kKey, kSlot, kRunning, kWithdrawing };
+
+  ExchangeId id;
+  ServiceId service;
+  Route route;
+  CallerId caller;
+  RequestKey key;
+  KeyHome home;
+  Fingerprint fingerprint;
+  Fingerprint body;
+  Time arrived;
+  Time deadline;
+  Phase phase = Phase::kSlot;
+  Time asked;     // When the last request to a peer was sent.
+  HostId holder;  // Whom the key was asked of.
+  HostId granter;
+  ZoneId zone;
+  EndpointId endpoint;
+  Time dispatched;
+  int tries = 0;
+  bool caller_gone = false;
+  bool draw_again = false;
+};
+
+// An outcome that the holders of its key have not confirmed yet.
+struct PendingOutcome {
+  KeyComplete complete;
+  Time next_send;
+  Time expires;
+};
+
+struct DemandCounter {
+  double arrivals = 0;  // Since the last report.
+  double requests_per_second = 0;
+  double service_seconds = 0;
+};
+
+struct EntryNode {
+  EntryNode(Topology topology, Host self, uint64_t seed);
+
+  EntryLimits limits;
+  Topology topology;
+  Host self;
+  HostId control;  // The control process beside this one; may be empty.
+  std::mt19937_64 random;
+  uint64_t next_exchange = 0;
+
+  // Documents.
+  Replica replica;
+  HostList hosts;
+  std::map<ServiceId, EndpointList> endpoints;
+  Intent intent;
+  std::map<ServiceId, ServicePlan> plans;
+  std::map<RegionId, RegionViews> views;
+  bool has_intent = false;
+  WallTime wall{};
+  // Endpoints that get no new work by the intent, as of `wall`.
+  std::set<EndpointId> leaving_endpoints;
+  // A store or a peer has confirmed that nothing newer is known.
+  bool joined = false;
+  bool follows_store = false;
+  std::map<HostId, Time> summary_sent;
+
+  // Membership.
+  Membership membership;
+  LookupTable lookup;
+  std::map<HostId, HostState> states;  // As of the last tick.
+
+  // Routing.
+  struct Routing {
+    ZoneWatch watch;
+    EffectiveShares shares;
+    FlowRow row;
+  };
+  std::map<ServiceId, Routing> routing;
+  // Granting hosts by service and zone; emptied when membership changes.
+  mutable std::map<std::pair<ServiceId, ZoneId>, HostId> granting_hosts;
+  RetryBudget retries;
+
+  // Requests.
+  std::unordered_map<ExchangeId, Exchange> exchanges;
+  std::unordered_map<ExchangeId, PendingOutcome> outcomes;
+
+  // Slots.
+  std::map<std::pair<ServiceId, ZoneId>, Granter> granters;
+  PoisonList poison;
+
+  // Keys.
+  Ledger ledger;
+
+  // Reports.
+  std::map<std::pair<ServiceId, Priority>, DemandCounter> demand;
+  std::map<HostId, std::pair<Time, HostReport>> reports;
+  Time next_report;
+  Time next_status;
+  Time last_report;
+  uint64_t status_revision = 0;
+  uint64_t status_sequence = 0;
+  bool status_in_flight = false;
+
+  // Stopping.
+  bool stopping = false;
+  Time stop_began;
+  bool exited = false;
+  Time started;
+
+  Time timer;  // When the next TimerFired is due.
+  Time next_tick;
+};
+
+// Starts the node: sets its first timer.
+std::vector<EntryAction> StartEntry(EntryNode& node, Time now);
+
+std::vector<EntryAction> Handle(EntryNode& node,
+                                const EntryEvent& event,
+                                Time now);
+
+// The next number for a request of this host.
+ExchangeId NewExchange(EntryNode& node);
+
+// Whether the node may answer callers.
+bool IsReady(const EntryNode& node);
+
+// What a caller at `client_ip` is told; empty while the node is not ready.
+LookupAnswer AnswerLookup(EntryNode& node, uint32_t client_ip);
+
+}  // namespace sassafras
+
+#endif  // DECISIONS_ENTRY_NODE_H_
--- /dev/null
+++ b/src/decisions/fair_queue.cc
@@ -0,0 +1,97 @@
+#include "decisions/fair_queue.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+// Bound on what a class may save or owe, in seconds of all slots: longer
+// accounts would let a class that was starved by an outage take the zone
+// over afterwards.
+constexpr double kMaxAccountSeconds = 2.0;
+
+CallerQueue::Line& LineOf(CallerQueue& queue, const CallerId& caller) {
+  const auto it = queue.by_caller.find(caller);
+  if (it != queue.by_caller.end())
+    return *it->second;
+  queue.lines.push_back({caller, {}});
+  queue.by_caller[caller] = std::prev(queue.lines.end());
+  return queue.lines.back();
+}
+
+}  // namespace
+
+void Push(CallerQueue& queue, QueuedRequest request) {
+  CallerQueue::Line& line = LineOf(queue, request.request.caller);
+  line.requests.push_back(std::move(request));
+  ++queue.size;
+}
+
+void PushFront(CallerQueue& queue, QueuedRequest request) {
+  CallerQueue::Line& line = LineOf(queue, request.request.caller);
+  line.requests.push_front(std::move(request));
+  ++queue.size;
+}
+
+std::optional<QueuedRequest> Pop(CallerQueue& queue) {
+  if (queue.lines.empty())
+    return std::nullopt;
+  const auto line = queue.lines.begin();
+  QueuedRequest request = std::move(line->requests.front());
+  line->requests.pop_front();
+  --queue.size;
+  if (line->requests.empty()) {
+    queue.by_caller.erase(line->caller);
+    queue.lines.erase(line);
+  } else {
+    queue.lines.splice(queue.lines.end(), queue.lines, line);
+  }
+  return request;
+}
+
+size_t PositionOf(const CallerQueue& queue, const CallerId& caller) {
+  const auto it = queue.by_caller.find(caller);
+  const size_t own =
+      it == queue.by_caller.end() ? 0 : it->second->requests.size();
+  // Each other caller gets at most one turn per turn of this caller.
+  const size_t others = queue.lines.size() - (own > 0 ? 1 : 0);
+  return std::min(queue.size, own + others * (own + 1));
+}
+
+void UpdateShares(ShareAccounts& accounts,
+                  const PerPriority<double>& least_shares,
+                  const PerPriority<size_t>& waiting,
+                  const PerPriority<size_t>& held,
+                  double slots,
+                  Time now) {
+  const double elapsed =
+      accounts.updated == Time() ? 0.0 : Seconds(now - accounts.updated);
+  accounts.updated = now;
+  for (const Priority p : kAllPriorities) {
+    const size_t n = IndexOf(p);
+    double& account = accounts.earned_seconds[n];
+    if (waiting[n] == 0) {
+      account = std::min(account, 0.0);
+      if (held[n] == 0)
+        account = 0;
+    }
+    const double earned = least_shares[n] * slots * elapsed;
+    const double spent = static_cast<double>(held[n]) * elapsed;
+    const double bound = kMaxAccountSeconds * slots * least_shares[n];
+    account = std::clamp(account + earned - spent, -bound, bound);
+  }
+}
+
+PerPriority<Priority> ServiceOrder(const ShareAccounts& accounts,
+                                   const PerPriority<double>& least_shares) {
+  PerPriority<Priority> order = kAllPriorities;
+  const auto is_owed = [&](Priority p) {
+    const size_t n = IndexOf(p);
+    return least_shares[n] > 0 && accounts.earned_seconds[n] > 0;
+  };
+  std::stable_partition(order.begin(), order.end(), is_owed);
+  return order;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/flow.cc
@@ -0,0 +1,253 @@
+#include "decisions/flow.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+constexpr double kEpsilon = 1e-9;
+constexpr double kSecondsPerMinute = 60.0;
+
+const ZoneWatch::State* StateOf(const ZoneWatch& watch, const ZoneId& zone) {
+  const auto it = watch.zones.find(zone);
+  return it == watch.zones.end() ? nullptr : &it->second;
+}
+
+double Availability(const ZoneWatch& watch, const ZoneId& zone) {
+  const ZoneWatch::State* state = StateOf(watch, zone);
+  if (!state)
+    return 1.0;
+  return state->lost ? 0.0 : state->returned;
+}
+
+void GrowReturned(ZoneWatch::State& state,
+                  const ServicePlan& plan,
+                  double share,
+                  Time now) {
+  if (state.returned >= 1.0)
+    return;
+  const double elapsed = Seconds(now - state.returned_updated);
+  state.returned_updated = now;
+  const double points = plan.shift_cap_per_minute * elapsed / kSecondsPerMinute;
+  state.returned =
+      share <= kEpsilon ? 1.0 : std::min(1.0, state.returned + points / share);
+}
+
+// Fills classes from the most urgent one until `room` of the work is placed.
+PerPriority<double> AdmitByPriority(const PerPriority<double>& mix,
+                                    double room) {
+  PerPriority<double> admitted{};
+  for (const Priority p : kAllPriorities) {
+    const double wanted = mix[IndexOf(p)];
+    const double placed = std::min(wanted, std::max(0.0, room));
+    admitted[IndexOf(p)] = wanted > kEpsilon ? placed / wanted : 1.0;
+    room -= placed;
+  }
+  // A class that the plan has not seen yet is treated like the lowest one.
+  return admitted;
+}
+
+struct Surplus {
+  ZoneId zone;
+  double room = 0;
+  bool same_region = false;
+};
+
+// Splits `amount` over the surplus zones that `accept` takes, in proportion
+// to their room. Returns what found no room.
+template <typename Accept>
+double Spread(std::vector<Surplus>& surplus,
+              double amount,
+              Accept accept,
+              std::map<ZoneId, double>& to) {
+  double room = 0;
+  for (const Surplus& it : surplus) {
+    if (accept(it))
+      room += it.room;
+  }
+  if (room <= kEpsilon)
+    return amount;
+  const double placed = std::min(amount, room);
+  for (Surplus& it : surplus) {
+    if (!accept(it))
+      continue;
+    const double part = placed * it.room / room;
+    to[it.zone] += part;
+  }
+  return amount - placed;
+}
+
+// Work that arrives in each zone beyond its share, and room left in each.
+struct Balance {
+  std::map<ZoneId, double> excess;
+  std::map<ZoneId, double> room;
+};
+
+Balance BalanceZones(const ServicePlan& plan, const EffectiveShares& shares) {
+  double total = 0;
+  for (const auto& [zone, share] : shares.zones)
+    total += share;
+  Balance out;
+  if (total <= kEpsilon)
+    return out;
+  for (const auto& [zone, zone_plan] : plan.zones) {
+    const auto it = shares.zones.find(zone);
+    const double share = it == shares.zones.end() ? 0 : it->second / total;
+    const double kept = std::min(share, zone_plan.demand);
+    out.excess[zone] = zone_plan.demand - kept;
+    out.room[zone] = share - kept;
+  }
+  return out;
+}
+
+// Within each region, work of crowded zones fills the room of its
+// neighbours. Returns the part of `from`'s excess that stays in its region.
+double RegionalPart(const Balance& balance,
+                    const Topology& topology,
+                    const RegionId& region) {
+  double excess = 0;
+  double room = 0;
+  for (const auto& [zone, amount] : balance.excess) {
+    const RegionId* it = RegionOfZone(topology, zone);
+    if (!it || *it != region)
+      continue;
+    excess += amount;
+    room += balance.room.at(zone);
+  }
+  return excess <= kEpsilon ? 0 : std::min(1.0, room / excess);
+}
+
+// Room of each zone that its own region leaves to others.
+std::vector<Surplus> SurplusAfterRegions(const Balance& balance,
+                                         const Topology& topology,
+                                         const RegionId& own_region) {
+  std::map<RegionId, double> excess;
+  std::map<RegionId, double> room;
+  for (const auto& [zone, amount] : balance.excess) {
+    const RegionId* region = RegionOfZone(topology, zone);
+    if (!region)
+      continue;
+    excess[*region] += amount;
+    room[*region] += balance.room.at(zone);
+  }
+  std::vector<Surplus> out;
+  for (const auto& [zone, amount] : balance.room) {
+    const RegionId* region = RegionOfZone(topology, zone);
+    if (!region || room[*region] <= kEpsilon)
+      continue;
+    const double left =
+        std::max(0.0, room[*region] - excess[*region]) / room[*region];
+    out.push_back({zone, amount * left, *region == own_region});
+  }
+  return out;
+}
+
+FlowRow RowOf(const std::map<ZoneId, double>& parts) {
+  double total = 0;
+  for (const auto& [zone, part] : parts)
+    total += part;
+  FlowRow row;
+  double sum = 0;
+  for (const auto& [zone, part] : parts) {
+    if (part <= kEpsilon)
+      continue;
+    sum += part / total;
+    row.targets.push_back({zone, sum});
+  }
+  return row;
+}
+
+}  // namespace
+
+void UpdateZoneWatch(ZoneWatch& watch,
+                     const ServicePlan& plan,
+                     const std::set<ZoneId>& lost,
+                     bool starting,
+                     Time now) {
+  for (const auto& [zone, zone_plan] : plan.zones) {
+    const auto [it, added] = watch.zones.try_emplace(zone);
+    ZoneWatch::State& state = it->second;
+    const bool is_lost = lost.count(zone) > 0;
+    if (added || state.lost != is_lost) {
+      const bool cold = !added && !is_lost && !state.never_seen;
+      state.returned = cold ? 0.0 : 1.0;
+      state.returned_updated = now;
+      state.never_seen = added && is_lost;
+      state.lost = is_lost;
+    }
+    if (!starting)
+      state.never_seen = false;
+    if (!is_lost)
+      GrowReturned(state, plan, zone_plan.share, now);
+  }
+}
+
+EffectiveShares ComputeShares(const ServicePlan& plan, const ZoneWatch& watch) {
+  EffectiveShares out;
+  double budget = 0;
+  double placed = 0;
+  for (const auto& [zone, zone_plan] : plan.zones) {
+    const double availability = Availability(watch, zone);
+    const double share = zone_plan.share * availability;
+    out.zones[zone] = share;
+    placed += share;
+    // A zone that is coming back takes nothing for others.
+    if (availability >= 1.0)
+      budget += zone_plan.failover_budget;
+  }
+  const double missing = std::max(0.0, 1.0 - placed);
+  const double moved = std::min(missing, budget);
+  if (moved > kEpsilon) {
+    for (const auto& [zone, zone_plan] : plan.zones) {
+      if (Availability(watch, zone) >= 1.0)
+        out.zones[zone] += moved * zone_plan.failover_budget / budget;
+    }
+  }
+  out.admitted.fill(1.0);
+  if (missing - moved > kEpsilon)
+    out.admitted = AdmitByPriority(plan.mix, placed + moved);
+  return out;
+}
+
+FlowRow ComputeFlow(const ServicePlan& plan,
+                    const EffectiveShares& shares,
+                    const Topology& topology,
+                    const ZoneId& from) {
+  const RegionId* region = RegionOfZone(topology, from);
+  const auto own = plan.zones.find(from);
+  const Balance balance = BalanceZones(plan, shares);
+  if (!region || own == plan.zones.end() || own->second.demand <= kEpsilon ||
+      balance.excess.empty()) {
+    return RowOf(shares.zones);
+  }
+  std::map<ZoneId, double> parts;
+  const double excess = balance.excess.at(from);
+  parts[from] = own->second.demand - excess;
+  const double regional = excess * RegionalPart(balance, topology, *region);
+  std::vector<Surplus> neighbours;
+  for (const auto& [zone, room] : balance.room) {
+    const RegionId* it = RegionOfZone(topology, zone);
+    if (it && *it == *region)
+      neighbours.push_back({zone, room, true});
+  }
+  Spread(
+      neighbours, regional, [](const Surplus&) { return true; }, parts);
+  std::vector<Surplus> others = SurplusAfterRegions(balance, topology, *region);
+  Spread(
+      others, excess - regional,
+      [](const Surplus& it) { return !it.same_region; }, parts);
+  return RowOf(parts);
+}
+
+std::optional<ZoneId> PickTarget(const FlowRow& row, double draw) {
+  for (const FlowRow::Target& it : row.targets) {
+    if (draw < it.up_to)
+      return it.zone;
+  }
+  if (row.targets.empty())
+    return std::nullopt;
+  return row.targets.back().zone;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/ledger.cc
@@ -0,0 +1,660 @@
+#include "decisions/ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+// Generation of a shard that never lost its records.
+constexpr Generation kFirstGeneration{1};
+constexpr size_t kMaxWaiters = 32;
+
+const ShardView* ViewOf(const LedgerContext& ctx, int shard) {
+  if (!ctx.views || shard < 0 ||
+      static_cast<size_t>(shard) >= ctx.views->shards.size()) {
+    return nullptr;
+  }
+  return &ctx.views->shards[static_cast<size_t>(shard)];
+}
+
+bool IsHolder(const ShardView& view, const HostId& host) {
+  return view.primary == host || view.backup == host;
+}
+
+Envelope Refuse(const HostId& to,
+                ExchangeId exchange,
+                KeyVerdict verdict,
+                bool not_run = false) {
+  return {to, KeyRefusal{exchange, verdict, not_run}};
+}
+
+Envelope Completed(const HostId& to, ExchangeId exchange, bool not_run) {
+  return {to, KeyCompleted{exchange, not_run}};
+}
+
+void Forget(Ledger& ledger, Ledger::Shard& shard, const RequestKey& key) {
+  const auto it = shard.slots.find(key);
+  if (it == shard.slots.end())
+    return;
+  ledger.answer_bytes -= it->second.record.answer.body.size();
+  --ledger.record_count;
+  shard.slots.erase(it);
+  shard.unacknowledged.erase(key);
+  shard.catch_up.erase(key);
+  shard.waited.erase(key);
+}
+
+void ForgetAll(Ledger& ledger, Ledger::Shard& shard) {
+  for (const auto& [key, slot] : shard.slots)
+    ledger.answer_bytes -= slot.record.answer.body.size();
+  ledger.record_count -= shard.slots.size();
+  shard.slots.clear();
+  shard.unacknowledged.clear();
+  shard.catch_up.clear();
+  shard.waited.clear();
+  shard.expiries.clear();
+}
+
+// The new backup starts with nothing: every record has to be sent to it.
+void StartCatchUp(Ledger::Shard& shard) {
+  shard.unacknowledged.clear();
+  shard.catch_up.clear();
+  for (auto& [key, slot] : shard.slots) {
+    slot.acknowledged = 0;
+    slot.replicated_at = Time();
+    shard.unacknowledged.insert(key);
+    shard.catch_up.insert(key);
+  }
+}
+
+// The shard's records, brought in line with its view.
+Ledger::Shard& ShardInView(Ledger& ledger,
+                           const LedgerContext& ctx,
+                           int number,
+                           const ShardView& view) {
+  Ledger::Shard& shard = ledger.shards[number];
+  if (shard.view == view.number)
+    return shard;
+  if (shard.generation != view.generation) {
+    ForgetAll(ledger, shard);
+    shard.generation = view.generation;
+    shard.generation_seen = ctx.now;
+  }
+  shard.view = view.number;
+  StartCatchUp(shard);
+  return shard;
+}
+
+// Inserts or replaces the record of a key.
+Ledger::Slot& Put(Ledger& ledger,
+                  Ledger::Shard& shard,
+                  const KeyRecord& record,
+                  Time now) {
+  const auto [it, added] = shard.slots.try_emplace(record.key);
+  Ledger::Slot& slot = it->second;
+  if (added)
+    ++ledger.record_count;
+  ledger.answer_bytes -= slot.record.answer.body.size();
+  ledger.answer_bytes += record.answer.body.size();
+  slot.record = record;
+  slot.changed = now;
+  if (added)
+    shard.expiries.push_back({now + ledger.limits.retention, record.key});
+  return slot;
+}
+
+Envelope Replicate(const LedgerContext& ctx,
+                   int number,
+                   const ShardView& view,
+                   Ledger::Shard& shard,
+                   Ledger::Slot& slot) {
+  slot.replicated_at = ctx.now;
+  shard.unacknowledged.insert(slot.record.key);
+  KeyReplicate batch;
+  batch.region = ctx.views->region;
+  batch.shard = number;
+  batch.view = view.number;
+  batch.records = {slot.record};
+  return {view.backup, std::move(batch)};
+}
+
+// Whether a key that this holder has no record of cannot have run.
+bool CanProveNotRun(const LedgerContext& ctx, const ShardView& view) {
+  if (!ctx.hears_majority)
+    return false;
+  return view.primary == ctx.self || view.backup_synced;
+}
+
+bool IsGenerationLost(const Ledger& ledger,
+                      const LedgerContext& ctx,
+                      const ShardView& view,
+                      const Ledger::Shard& shard,
+                      const KeyHome& home) {
+  if (home.minted)
+    return *home.minted < view.generation;
+  return view.generation > kFirstGeneration &&
+         ctx.now - shard.generation_seen < ledger.limits.retention;
+}
+
+void Start(Ledger& ledger,
+           const LedgerContext& ctx,
+           int number,
+           const ShardView& view,
+           Ledger::Shard& shard,
+           KeyRecord record,
+           std::vector<Envelope>& out) {
+  record.state = RecordState::kStarted;
+  record.answer_kept = false;
+  record.answer = {};
+  ++record.revision;
+  Ledger::Slot& slot = Put(ledger, shard, record, ctx.now);
+  slot.may_have_gone = false;
+  out.push_back(Replicate(ctx, number, view, shard, slot));
+}
+
+void AnswerWaiters(Ledger::Shard& shard,
+                   Ledger::Slot& slot,
+                   std::vector<Envelope>& out) {
+  const KeyRecord& record = slot.record;
+  for (const Ledger::Waiter& it : slot.waiters) {
+    if (record.state == RecordState::kUnknown)
+      out.push_back(Refuse(it.host, it.exchange, KeyVerdict::kUnknown));
+    else if (record.answer_kept)
+      out.push_back({it.host, KeyAnswer{it.exchange, record.answer}});
+    else
+      out.push_back(Refuse(it.host, it.exchange, KeyVerdict::kAnswerGone));
+  }
+  slot.waiters.clear();
+  shard.waited.erase(record.key);
+}
+
+void EndRecord(Ledger& ledger,
+               const LedgerContext& ctx,
+               int number,
+               const ShardView& view,
+               Ledger::Shard& shard,
+               KeyRecord record,
+               std::vector<Envelope>& out) {
+  ++record.revision;
+  Ledger::Slot& slot = Put(ledger, shard, record, ctx.now);
+  out.push_back(Replicate(ctx, number, view, shard, slot));
+  AnswerWaiters(shard, slot, out);
+}
+
+// A started record whose owner's process is gone may have run.
+bool EndIfOwnerDied(Ledger& ledger,
+                    const LedgerContext& ctx,
+                    int number,
+                    const ShardView& view,
+                    Ledger::Shard& shard,
+                    Ledger::Slot& slot,
+                    std::vector<Envelope>& out) {
+  if (slot.record.state != RecordState::kStarted)
+    return false;
+  if (ctx.is_owner_alive(slot.record.owner, slot.record.exchange))
+    return false;
+  KeyRecord record = slot.record;
+  record.state = RecordState::kUnknown;
+  EndRecord(ledger, ctx, number, view, shard, std::move(record), out);
+  return true;
+}
+
+void BeginStarted(Ledger& ledger,
+                  const LedgerContext& ctx,
+                  const HostId& from,
+                  const KeyBegin& begin,
+                  const ShardView& view,
+                  Ledger::Shard& shard,
+                  Ledger::Slot& slot,
+                  std::vector<Envelope>& out) {
+  const int number = begin.home.shard;
+  const bool is_primary = view.primary == ctx.self;
+  if (slot.record.exchange == begin.exchange && slot.record.owner == from) {
+    if (!is_primary)
+      out.push_back(Refuse(from, begin.exchange, KeyVerdict::kInProgress));
+    else if (slot.acknowledged == slot.record.revision)
+      out.push_back({from, KeyGo{begin.exchange, begin.home, begin.key}});
+    else
+      out.push_back(Replicate(ctx, number, view, shard, slot));
+    return;
+  }
+  if (!is_primary) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kInProgress));
+    return;
+  }
+  if (EndIfOwnerDied(ledger, ctx, number, view, shard, slot, out)) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kUnknown));
+    return;
+  }
+  const bool waits = std::any_of(
+      slot.waiters.begin(), slot.waiters.end(), [&](const Ledger::Waiter& it) {
+        return it.host == from && it.exchange == begin.exchange;
+      });
+  if (waits)
+    return;
+  if (slot.waiters.size() >= kMaxWaiters) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kInProgress));
+    return;
+  }
+  slot.waiters.push_back({from, begin.exchange});
+  shard.waited.insert(begin.key);
+}
+
+void BeginExisting(Ledger& ledger,
+                   const LedgerContext& ctx,
+                   const HostId& from,
+                   const KeyBegin& begin,
+                   const ShardView& view,
+                   Ledger::Shard& shard,
+                   Ledger::Slot& slot,
+                   std::vector<Envelope>& out) {
+  const KeyRecord& record = slot.record;
+  if (record.body != begin.body) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kBodyDiffers));
+    return;
+  }
+  switch (record.state) {
+    case RecordState::kFinished:
+      if (record.answer_kept)
+        out.push_back({from, KeyAnswer{begin.exchange, record.answer}});
+      else
+        out.push_back(Refuse(from, begin.exchange, KeyVerdict::kAnswerGone));
+      return;
+    case RecordState::kUnknown:
+      out.push_back(Refuse(from, begin.exchange, KeyVerdict::kUnknown));
+      return;
+    case RecordState::kStarted:
+      BeginStarted(ledger, ctx, from, begin, view, shard, slot, out);
+      return;
+    case RecordState::kWithdrawn:
+      return;
+  }
+}
+
+void BeginFresh(Ledger& ledger,
+                const LedgerContext& ctx,
+                const HostId& from,
+                const KeyBegin& begin,
+                const ShardView& view,
+                Ledger::Shard& shard,
+                uint64_t revision,
+                std::vector<Envelope>& out) {
+  const bool not_run = CanProveNotRun(ctx, view);
+  const bool has_backup = !view.backup.empty() && ctx.is_answering(view.backup);
+  if (view.primary != ctx.self || !has_backup) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kNoBackup, not_run));
+    return;
+  }
+  if (ledger.record_count >= ledger.limits.max_records) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kFull, not_run));
+    return;
+  }
+  KeyRecord record;
+  record.key = begin.key;
+  record.body = begin.body;
+  record.owner = from;
+  record.exchange = begin.exchange;
+  record.revision = revision;
+  Start(ledger, ctx, begin.home.shard, view, shard, std::move(record), out);
+}
+
+// The oldest waiter takes over a key that its owner gave back.
+void PromoteWaiter(Ledger& ledger,
+                   const LedgerContext& ctx,
+                   int number,
+                   const ShardView& view,
+                   Ledger::Shard& shard,
+                   Ledger::Slot& slot,
+                   std::vector<Envelope>& out) {
+  const Ledger::Waiter next = slot.waiters.front();
+  slot.waiters.erase(slot.waiters.begin());
+  if (slot.waiters.empty())
+    shard.waited.erase(slot.record.key);
+  KeyRecord record = slot.record;
+  record.owner = next.host;
+  record.exchange = next.exchange;
+  Start(ledger, ctx, number, view, shard, std::move(record), out);
+}
+
+void Withdraw(Ledger& ledger,
+              const LedgerContext& ctx,
+              const HostId& from,
+              const KeyComplete& complete,
+              const ShardView& view,
+              Ledger::Shard& shard,
+              std::vector<Envelope>& out) {
+  const auto it = shard.slots.find(complete.key);
+  if (it == shard.slots.end()) {
+    out.push_back(
+        Completed(from, complete.exchange, CanProveNotRun(ctx, view)));
+    return;
+  }
+  Ledger::Slot& slot = it->second;
+  if (slot.record.exchange != complete.exchange || slot.record.owner != from) {
+    auto& waiters = slot.waiters;
+    waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
+                                 [&](const Ledger::Waiter& w) {
+                                   return w.host == from &&
+                                          w.exchange == complete.exchange;
+                                 }),
+                  waiters.end());
+    out.push_back(Completed(from, complete.exchange, false));
+    return;
+  }
+  if (slot.record.state == RecordState::kWithdrawn)
+    return;  // Answered when the backup acknowledges.
+  if (slot.record.state != RecordState::kStarted) {
+    out.push_back(Completed(from, complete.exchange, false));
+    return;
+  }
+  if (!slot.waiters.empty()) {
+    out.push_back(Completed(from, complete.exchange, true));
+    PromoteWaiter(ledger, ctx, complete.home.shard, view, shard, slot, out);
+    return;
+  }
+  KeyRecord record = slot.record;
+  record.state = RecordState::kWithdrawn;
+  EndRecord(ledger, ctx, complete.home.shard, view, shard, std::move(record),
+            out);
+}
+
+void KeepAnswer(const Ledger& ledger,
+                const KeyComplete& complete,
+                KeyRecord& record) {
+  const uint64_t size = complete.answer.body.size();
+  const bool fits =
+      size <= ledger.limits.max_answer_size &&
+      ledger.answer_bytes + size <= ledger.limits.max_answer_bytes;
+  record.answer_kept = complete.answer_kept && fits;
+  record.answer = record.answer_kept ? complete.answer : StoredAnswer{};
+}
+
+// What the acknowledgement of a record's newest revision sets free.
+void OnAcknowledged(Ledger& ledger,
+                    Ledger::Shard& shard,
+                    const KeyHome& home,
+                    Ledger::Slot& slot,
+                    std::vector<Envelope>& out) {
+  const KeyRecord& record = slot.record;
+  switch (record.state) {
+    case RecordState::kStarted:
+      slot.may_have_gone = true;
+      out.push_back({record.owner, KeyGo{record.exchange, home, record.key}});
+      return;
+    case RecordState::kFinished:
+    case RecordState::kUnknown:
+      out.push_back(Completed(record.owner, record.exchange, false));
+      return;
+    case RecordState::kWithdrawn:
+      out.push_back(Completed(record.owner, record.exchange, true));
+      Forget(ledger, shard, RequestKey(record.key));
+      return;
+  }
+}
+
+// The backup knows a newer view: records that only this host knows of are
+// void, since their owners cannot have got permission.
+void DropUngranted(Ledger& ledger,
+                   Ledger::Shard& shard,
+                   const KeyReplicated& reply,
+                   std::vector<Envelope>& out) {
+  for (const RecordRevision& it : reply.records) {
+    const auto found = shard.slots.find(it.key);
+    if (found == shard.slots.end())
+      continue;
+    const Ledger::Slot& slot = found->second;
+    if (slot.record.state != RecordState::kStarted || slot.may_have_gone)
+      continue;
+    out.push_back(Refuse(slot.record.owner, slot.record.exchange,
+                         KeyVerdict::kNotHolder));
+    Forget(ledger, shard, it.key);
+  }
+}
+
+void ReplicateAgain(Ledger& ledger,
+                    const LedgerContext& ctx,
+                    int number,
+                    const ShardView& view,
+                    Ledger::Shard& shard,
+                    std::vector<Envelope>& out) {
+  if (view.backup.empty() || shard.unacknowledged.empty())
+    return;
+  KeyReplicate batch;
+  batch.region = ledger.region;
+  batch.shard = number;
+  batch.view = view.number;
+  for (const RequestKey& key : shard.unacknowledged) {
+    if (batch.records.size() >= ledger.limits.max_batch_records)
+      break;
+    Ledger::Slot& slot = shard.slots.at(key);
+    if (ctx.now - slot.replicated_at < ledger.limits.replicate_again_after)
+      continue;
+    slot.replicated_at = ctx.now;
+    batch.records.push_back(slot.record);
+  }
+  if (!batch.records.empty())
+    out.push_back({view.backup, std::move(batch)});
+}
+
+void DropExpired(Ledger& ledger, Ledger::Shard& shard, Time now) {
+  while (!shard.expiries.empty() && shard.expiries.front().at <= now) {
+    const Ledger::Expiry expiry = std::move(shard.expiries.front());
+    shard.expiries.pop_front();
+    const auto it = shard.slots.find(expiry.key);
+    if (it == shard.slots.end())
+      continue;
+    const Time end = it->second.changed + ledger.limits.retention;
+    if (end > now)
+      shard.expiries.push_back({end, expiry.key});
+    else
+      Forget(ledger, shard, expiry.key);
+  }
+}
+
+void EndOrphans(Ledger& ledger,
+                const LedgerContext& ctx,
+                int number,
+                const ShardView& view,
+                Ledger::Shard& shard,
+                std::vector<Envelope>& out) {
+  const std::vector<RequestKey> waited(shard.waited.begin(),
+                                       shard.waited.end());
+  for (const RequestKey& key : waited) {
+    Ledger::Slot& slot = shard.slots.at(key);
+    EndIfOwnerDied(ledger, ctx, number, view, shard, slot, out);
+  }
+}
+
+}  // namespace
+
+std::vector<Envelope> OnKeyBegin(Ledger& ledger,
+                                 const LedgerContext& ctx,
+                                 const HostId& from,
+                                 const KeyBegin& begin) {
+  std::vector<Envelope> out;
+  const ShardView* view = ViewOf(ctx, begin.home.shard);
+  if (begin.home.region != ledger.region || !view ||
+      !IsHolder(*view, ctx.self) ||
+      (begin.home.minted && *begin.home.minted > view->generation)) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kNotHolder));
+    return out;
+  }
+  Ledger::Shard& shard = ShardInView(ledger, ctx, begin.home.shard, *view);
+  if (IsGenerationLost(ledger, ctx, *view, shard, begin.home)) {
+    out.push_back(Refuse(from, begin.exchange, KeyVerdict::kUnknown));
+    return out;
+  }
+  const auto it = shard.slots.find(begin.key);
+  if (it == shard.slots.end()) {
+    BeginFresh(ledger, ctx, from, begin, *view, shard, 0, out);
+  } else if (it->second.record.state == RecordState::kWithdrawn) {
+    const uint64_t revision = it->second.record.revision;
+    BeginFresh(ledger, ctx, from, begin, *view, shard, revision, out);
+  } else {
+    BeginExisting(ledger, ctx, from, begin, *view, shard, it->second, out);
+  }
+  return out;
+}
+
+std::vector<Envelope> OnKeyComplete(Ledger& ledger,
+                                    const LedgerContext& ctx,
+                                    const HostId& from,
+                                    const KeyComplete& complete) {
+  std::vector<Envelope> out;
+  const ShardView* view = ViewOf(ctx, complete.home.shard);
+  if (complete.home.region != ledger.region || !view ||
+      view->primary != ctx.self) {
+    return out;
+  }
+  Ledger::Shard& shard = ShardInView(ledger, ctx, complete.home.shard, *view);
+  if (complete.state == RecordState::kWithdrawn) {
+    Withdraw(ledger, ctx, from, complete, *view, shard, out);
+    return out;
+  }
+  const auto it = shard.slots.find(complete.key);
+  if (it == shard.slots.end() ||
+      it->second.record.exchange != complete.exchange) {
+    out.push_back(Completed(from, complete.exchange, false));
+    return out;
+  }
+  Ledger::Slot& slot = it->second;
+  const bool is_ended = slot.record.state == RecordState::kFinished;
+  if (is_ended) {
+    if (slot.acknowledged == slot.record.revision)
+      out.push_back(Completed(from, complete.exchange, false));
+    return out;
+  }
+  KeyRecord record = slot.record;
+  record.state = complete.state;
+  KeepAnswer(ledger, complete, record);
+  EndRecord(ledger, ctx, complete.home.shard, *view, shard, std::move(record),
+            out);
+  return out;
+}
+
+std::vector<Envelope> OnKeyReplicate(Ledger& ledger,
+                                     const LedgerContext& ctx,
+                                     const HostId& from,
+                                     const KeyReplicate& batch) {
+  const ShardView* view = ViewOf(ctx, batch.shard);
+  if (batch.region != ledger.region || !view || view->number < batch.view)
+    return {};
+  KeyReplicated reply;
+  reply.region = batch.region;
+  reply.shard = batch.shard;
+  reply.view = batch.view;
+  reply.refused = view->number != batch.view || view->primary != from ||
+                  view->backup != ctx.self;
+  for (const KeyRecord& it : batch.records)
+    reply.records.push_back({it.key, it.revision});
+  if (reply.refused)
+    return {{from, std::move(reply)}};
+  Ledger::Shard& shard = ShardInView(ledger, ctx, batch.shard, *view);
+  for (const KeyRecord& it : batch.records) {
+    if (it.state == RecordState::kWithdrawn) {
+      Forget(ledger, shard, it.key);
+      continue;
+    }
+    const auto held = shard.slots.find(it.key);
+    if (held != shard.slots.end() &&
+        held->second.record.revision >= it.revision) {
+      continue;
+    }
+    Put(ledger, shard, it, ctx.now).may_have_gone = true;
+  }
+  return {{from, std::move(reply)}};
+}
+
+std::vector<Envelope> OnKeyReplicated(Ledger& ledger,
+                                      const LedgerContext& ctx,
+                                      const HostId& from,
+                                      const KeyReplicated& reply) {
+  std::vector<Envelope> out;
+  const ShardView* view = ViewOf(ctx, reply.shard);
+  if (reply.region != ledger.region || !view || view->primary != ctx.self)
+    return out;
+  Ledger::Shard& shard = ShardInView(ledger, ctx, reply.shard, *view);
+  if (reply.view != view->number || from != view->backup)
+    return out;
+  if (reply.refused) {
+    DropUngranted(ledger, shard, reply, out);
+    return out;
+  }
+  KeyHome home;
+  home.region = reply.region;
+  home.shard = reply.shard;
+  home.minted = view->generation;
+  for (const RecordRevision& it : reply.records) {
+    const auto found = shard.slots.find(it.key);
+    if (found == shard.slots.end())
+      continue;
+    Ledger::Slot& slot = found->second;
+    if (it.revision <= slot.acknowledged ||
+        it.revision != slot.record.revision) {
+      continue;
+    }
+    slot.acknowledged = it.revision;
+    shard.unacknowledged.erase(it.key);
+    shard.catch_up.erase(it.key);
+    OnAcknowledged(ledger, shard, home, slot, out);
+  }
+  return out;
+}
+
+std::vector<Envelope> OnLedgerTick(Ledger& ledger, const LedgerContext& ctx) {
+  std::vector<Envelope> out;
+  for (auto& [number, shard] : ledger.shards) {
+    DropExpired(ledger, shard, ctx.now);
+    const ShardView* view = ViewOf(ctx, number);
+    if (!view || view->primary != ctx.self || view->number != shard.view)
+      continue;
+    EndOrphans(ledger, ctx, number, *view, shard, out);
+    ReplicateAgain(ledger, ctx, number, *view, shard, out);
+  }
+  return out;
+}
+
+void OnViewsChanged(Ledger& ledger, const LedgerContext& ctx) {
+  if (!ctx.views)
+    return;
+  for (int number = 0; number < kShardsPerRegion; ++number) {
+    const ShardView* view = ViewOf(ctx, number);
+    if (!view)
+      return;
+    if (IsHolder(*view, ctx.self)) {
+      ShardInView(ledger, ctx, number, *view);
+      continue;
+    }
+    const auto it = ledger.shards.find(number);
+    if (it == ledger.shards.end())
+      continue;
+    ForgetAll(ledger, it->second);
+    ledger.shards.erase(it);
+  }
+}
+
+std::vector<SyncedShard> SyncedShards(const Ledger& ledger,
+                                      const LedgerContext& ctx) {
+  std::vector<SyncedShard> out;
+  for (const auto& [number, shard] : ledger.shards) {
+    const ShardView* view = ViewOf(ctx, number);
+    if (!view || view->primary != ctx.self || view->number != shard.view)
+      continue;
+    if (view->backup.empty() || view->backup_synced || !shard.catch_up.empty())
+      continue;
+    out.push_back({number, view->number});
+  }
+  return out;
+}
+
+bool HoldsAnyShard(const LedgerContext& ctx) {
+  if (!ctx.views)
+    return false;
+  return std::any_of(
+      ctx.views->shards.begin(), ctx.views->shards.end(),
+      [&](const ShardView& it) { return IsHolder(it, ctx.self); });
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/membership.cc
@@ -0,0 +1,310 @@
+#include "decisions/membership.h"
+
+#include <algorithm>
+
+#include "decisions/rendezvous.h"
+
+namespace sassafras {
+
+namespace {
+
+constexpr char kRelayTopic[] = "relay/";
+
+std::vector<HostId> HostsOfZone(const Membership& m, const ZoneId& zone) {
+  std::vector<HostId> out;
+  for (const auto& [id, host] : m.listed) {
+    if (host.zone == zone)
+      out.push_back(id);
+  }
+  return out;
+}
+
+std::set<ZoneId> ZonesOfRegion(const Membership& m, const RegionId& region) {
+  std::set<ZoneId> out;
+  for (const auto& [id, host] : m.listed) {
+    if (host.region == region)
+      out.insert(host.zone);
+  }
+  return out;
+}
+
+std::set<RegionId> Regions(const Membership& m) {
+  std::set<RegionId> out;
+  for (const auto& [id, host] : m.listed)
+    out.insert(host.region);
+  return out;
+}
+
+// Relays of `zone`; while none is known to live, listed hosts stand in, so
+// that zones find each other at the start and after a cut.
+std::vector<HostId> RelaysToContact(const Membership& m,
+                                    const ZoneId& zone,
+                                    Time now) {
+  std::vector<HostId> relays = RelaysOfZone(m, zone, now);
+  if (!relays.empty())
+    return relays;
+  relays = RankHosts(HostsOfZone(m, zone), kRelayTopic + zone.value());
+  if (relays.empty())
+    return relays;
+  // Take turns, since the first of the list may be dead for long.
+  const size_t turn = m.beats_sent % relays.size();
+  return {relays[turn]};
+}
+
+// The zone whose relays speak for the region: the first one heard of.
+ZoneId SpeakingZone(const Membership& m, const RegionId& region, Time now) {
+  const std::set<ZoneId> zones = ZonesOfRegion(m, region);
+  for (const ZoneId& it : zones) {
+    if (IsZoneHeard(m, it, now))
+      return it;
+  }
+  if (zones.empty())
+    return ZoneId();
+  auto it = zones.begin();
+  std::advance(it, m.beats_sent % zones.size());
+  return *it;
+}
+
+bool SpeaksForRegion(const Membership& m, Time now) {
+  return SpeakingZone(m, m.self.region, now) == m.self.zone;
+}
+
+std::set<HostId> BeatTargets(const Membership& m, Time now) {
+  std::set<HostId> out;
+  for (const HostId& it : HostsOfZone(m, m.self.zone))
+    out.insert(it);
+  if (IsRelay(m, now)) {
+    for (const ZoneId& zone : ZonesOfRegion(m, m.self.region)) {
+      for (const HostId& it : RelaysToContact(m, zone, now))
+        out.insert(it);
+    }
+    if (SpeaksForRegion(m, now)) {
+      for (const RegionId& region : Regions(m)) {
+        const ZoneId zone = SpeakingZone(m, region, now);
+        for (const HostId& it : RelaysToContact(m, zone, now))
+          out.insert(it);
+      }
+    }
+  }
+  out.erase(m.self.id);
+  return out;
+}
+
+ZoneBeat OwnZoneBeat(const Membership& m, Time now) {
+  ZoneBeat beat;
+  beat.zone = m.self.zone;
+  beat.has_lists = true;
+  for (const HostId& it : HostsOfZone(m, m.self.zone)) {
+    const HostState state = StateOf(m, it, now);
+    if (state != HostState::kDead)
+      beat.up.push_back(it);
+    if (state == HostState::kLeaving)
+      beat.leaving.push_back(it);
+  }
+  return beat;
+}
+
+std::vector<ZoneBeat> ZoneBeats(const Membership& m,
+                                bool repeat_lists,
+                                Time now) {
+  std::vector<ZoneBeat> out = {OwnZoneBeat(m, now)};
+  const Duration recent = m.limits.heartbeat_period * 3;
+  for (const auto& [zone, news] : m.zones) {
+    if (now - news.said > m.limits.zone_timeout)
+      continue;
+    ZoneBeat beat;
+    beat.zone = zone;
+    beat.age_ms = Millis(now - news.said);
+    beat.has_lists = repeat_lists || now - news.lists_changed < recent;
+    if (beat.has_lists) {
+      beat.up.assign(news.up.begin(), news.up.end());
+      beat.leaving.assign(news.leaving.begin(), news.leaving.end());
+    }
+    out.push_back(std::move(beat));
+  }
+  return out;
+}
+
+void TakeZoneBeat(Membership& m, const ZoneBeat& beat, Time now) {
+  if (beat.zone == m.self.zone || beat.age_ms < 0)
+    return;
+  const Time said = now - std::chrono::milliseconds(beat.age_ms);
+  const auto it = m.zones.find(beat.zone);
+  if (it != m.zones.end() && it->second.said >= said)
+    return;
+  // Without lists the news only confirms what is already held.
+  if (!beat.has_lists) {
+    if (it != m.zones.end())
+      it->second.said = said;
+    return;
+  }
+  Membership::ZoneNews news;
+  news.said = said;
+  news.up.insert(beat.up.begin(), beat.up.end());
+  news.leaving.insert(beat.leaving.begin(), beat.leaving.end());
+  news.lists_changed = now;
+  if (it != m.zones.end() && it->second.up == news.up &&
+      it->second.leaving == news.leaving) {
+    news.lists_changed = it->second.lists_changed;
+  }
+  m.zones[beat.zone] = std::move(news);
+}
+
+HostState StateByContact(const Membership& m, const HostId& host, Time now) {
+  const auto it = m.contacts.find(host);
+  if (it == m.contacts.end() ||
+      now - it->second.heard > m.limits.host_timeout) {
+    return HostState::kDead;
+  }
+  return it->second.leaving ? HostState::kLeaving : HostState::kLive;
+}
+
+HostState StateByNews(const Membership& m, const Host& host, Time now) {
+  const auto it = m.zones.find(host.zone);
+  if (it == m.zones.end() || now - it->second.said > m.limits.zone_timeout)
+    return HostState::kDead;
+  if (it->second.up.count(host.id) == 0)
+    return HostState::kDead;
+  return it->second.leaving.count(host.id) ? HostState::kLeaving
+                                           : HostState::kLive;
+}
+
+}  // namespace
+
+void SetListedHosts(Membership& m, const HostList& list) {
+  m.listed.clear();
+  for (const Host& it : list.hosts)
+    m.listed[it.id] = it;
+  m.listed[m.self.id] = m.self;
+}
+
+bool OnHeartbeat(Membership& m,
+                 const HostId& from,
+                 const Heartbeat& beat,
+                 Time now) {
+  Membership::Contact& contact = m.contacts[from];
+  const bool restarted =
+      contact.incarnation != 0 && contact.incarnation != beat.incarnation;
+  contact.heard = now;
+  contact.incarnation = beat.incarnation;
+  contact.leaving = beat.leaving;
+  contact.digest = beat.digest;
+  for (const ZoneBeat& it : beat.zones)
+    TakeZoneBeat(m, it, now);
+  return restarted;
+}
+
+std::vector<Envelope> DueHeartbeats(Membership& m, uint64_t digest, Time now) {
+  if (now < m.next_beat)
+    return {};
+  m.next_beat = now + m.limits.heartbeat_period;
+  Heartbeat plain;
+  plain.incarnation = m.incarnation;
+  plain.leaving = m.leaving;
+  plain.digest = digest;
+  Heartbeat full = plain;
+  const bool repeat_lists = m.beats_sent % m.limits.list_every_beats == 0;
+  if (IsRelay(m, now))
+    full.zones = ZoneBeats(m, repeat_lists, now);
+  std::vector<Envelope> out;
+  for (const HostId& it : BeatTargets(m, now))
+    out.push_back({it, full});
+  ++m.beats_sent;
+  return out;
+}
+
+std::vector<ZoneBeat> DescribeZones(const Membership& m, Time now) {
+  return ZoneBeats(m, true, now);
+}
+
+HostState StateOf(const Membership& m, const HostId& host, Time now) {
+  if (host == m.self.id)
+    return m.leaving ? HostState::kLeaving : HostState::kLive;
+  const auto it = m.listed.find(host);
+  if (it == m.listed.end())
+    return HostState::kDead;
+  const HostState direct = StateByContact(m, host, now);
+  HostState state = direct;
+  if (it->second.zone != m.self.zone && direct == HostState::kDead)
+    state = StateByNews(m, it->second, now);
+  if (state == HostState::kLive && it->second.leaving)
+    return HostState::kLeaving;
+  return state;
+}
+
+bool IsZoneHeard(const Membership& m, const ZoneId& zone, Time now) {
+  if (zone == m.self.zone)
+    return true;
+  const auto it = m.zones.find(zone);
+  return it != m.zones.end() && !it->second.up.empty() &&
+         now - it->second.said <= m.limits.zone_timeout;
+}
+
+std::vector<Host> AnsweringHosts(const Membership& m, Time now) {
+  std::vector<Host> out;
+  for (const auto& [id, host] : m.listed) {
+    if (StateOf(m, id, now) != HostState::kDead)
+      out.push_back(host);
+  }
+  return out;
+}
+
+std::vector<Host> LiveHosts(const Membership& m, Time now) {
+  std::vector<Host> out;
+  for (const auto& [id, host] : m.listed) {
+    if (StateOf(m, id, now) == HostState::kLive)
+      out.push_back(host);
+  }
+  return out;
+}
+
+std::vector<HostId> LiveHostsOfZone(const Membership& m,
+                                    const ZoneId& zone,
+                                    Time now) {
+  std::vector<HostId> out;
+  for (const HostId& it : HostsOfZone(m, zone)) {
+    if (StateOf(m, it, now) == HostState::kLive)
+      out.push_back(it);
+  }
+  return out;
+}
+
+std::vector<HostId> RelaysOfZone(const Membership& m,
+                                 const ZoneId& zone,
+                                 Time now) {
+  std::vector<HostId> live = LiveHostsOfZone(m, zone, now);
+  // A zone in which every host is stopping still needs relays.
+  if (live.empty() && zone == m.self.zone)
+    live.push_back(m.self.id);
+  std::vector<HostId> ranked = RankHosts(live, kRelayTopic + zone.value());
+  if (ranked.size() > m.limits.relays)
+    ranked.resize(m.limits.relays);
+  return ranked;
+}
+
+bool IsRelay(const Membership& m, Time now) {
+  const std::vector<HostId> relays = RelaysOfZone(m, m.self.zone, now);
+  return std::find(relays.begin(), relays.end(), m.self.id) != relays.end();
+}
+
+bool IsZoneReporter(const Membership& m, Time now) {
+  const std::vector<HostId> relays = RelaysOfZone(m, m.self.zone, now);
+  return !relays.empty() && relays.front() == m.self.id;
+}
+
+bool HearsMajorityOfRegion(const Membership& m,
+                           const RegionId& region,
+                           Time now) {
+  size_t listed = 0;
+  size_t heard = 0;
+  for (const auto& [id, host] : m.listed) {
+    if (host.region != region)
+      continue;
+    ++listed;
+    if (StateOf(m, id, now) != HostState::kDead)
+      ++heard;
+  }
+  return heard * 2 > listed;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/planner.cc
@@ -0,0 +1,331 @@
+#include "decisions/planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafras {
+
+namespace {
+
+constexpr double kEpsilon = 1e-9;
+constexpr double kSecondsPerMinute = 60.0;
+
+using Shares = std::map<ZoneId, double>;
+
+double Sum(const Shares& shares) {
+  double sum = 0;
+  for (const auto& [zone, share] : shares)
+    sum += share;
+  return sum;
+}
+
+double At(const Shares& shares, const ZoneId& zone) {
+  const auto it = shares.find(zone);
+  return it == shares.end() ? 0 : it->second;
+}
+
+bool IsMeasured(const PlannerInput& in, const PlannerLimits& limits) {
+  return in.measurement_age && *in.measurement_age <= limits.measurement_age;
+}
+
+double SlotsOf(const PlannerInput& in, const ZoneId& zone, bool measured) {
+  if (in.lost.count(zone))
+    return 0;
+  const double listed = At(in.listed_slots, zone);
+  const auto it = in.measured.find(zone);
+  if (!measured || it == in.measured.end())
+    return listed;
+  return std::min(listed, it->second.healthy_slots);
+}
+
+double HeadroomOfZone(const PlannerInput& in, const ZoneId& zone) {
+  const RegionId* region = RegionOfZone(*in.topology, zone);
+  return region ? HeadroomOf(*in.intent, *region) : kDefaultHeadroom;
+}
+
+double OfferedSlots(const PlannerInput& in) {
+  double sum = 0;
+  for (const auto& [zone, measure] : in.measured)
+    sum += measure.offered_slots;
+  return sum;
+}
+
+// Largest part of the service's work that each zone can carry. Without
+// measurements the load is taken to fill what headroom leaves, so that
+// capacity decides in proportion.
+Shares Capacity(const PlannerInput& in, bool measured) {
+  Shares out;
+  double usable = 0;
+  for (const auto& [zone, share] : in.intent->services.at(in.service).shares) {
+    const double slots = SlotsOf(in, zone, measured);
+    out[zone] = slots * (1.0 - HeadroomOfZone(in, zone));
+    usable += out[zone];
+  }
+  const double offered = measured ? OfferedSlots(in) : usable;
+  for (auto& [zone, part] : out)
+    part = offered > kEpsilon ? part / offered : (part > 0 ? 1.0 : 0.0);
+  return out;
+}
+
+Shares SharesOf(const ServicePlan* plan) {
+  Shares out;
+  if (!plan)
+    return out;
+  for (const auto& [zone, it] : plan->zones)
+    out[zone] = it.share;
+  return out;
+}
+
+// Puts `amount` into zones by the room that `limit` leaves above `shares`.
+// Returns what found no room.
+double Fill(Shares& shares, const Shares& limit, double amount) {
+  double room = 0;
+  for (const auto& [zone, share] : shares)
+    room += std::max(0.0, At(limit, zone) - share);
+  if (room <= kEpsilon || amount <= kEpsilon)
+    return amount;
+  const double placed = std::min(amount, room);
+  for (auto& [zone, share] : shares)
+    share += placed * std::max(0.0, At(limit, zone) - share) / room;
+  return amount - placed;
+}
+
+// The intent, cut to what zones can carry, with the excess put where there is
+// room. A zone that was relieved takes work back only below a lower mark, so
+// that lagging measurements do not make shares swing.
+Shares WantedShares(const PlannerInput& in,
+                    const PlannerLimits& limits,
+                    const Shares& now,
+                    bool measured) {
+  Shares wanted = in.intent->services.at(in.service).shares;
+  double excess = 0;
+  for (auto& [zone, share] : wanted) {
+    if (in.lost.count(zone)) {
+      excess += share;
+      share = 0;
+    }
+  }
+  Shares capacity = Capacity(in, measured);
+  if (measured) {
+    for (auto& [zone, share] : wanted) {
+      const double full = At(capacity, zone) * limits.shed_above;
+      const bool relieved = At(now, zone) < share - kEpsilon;
+      const double mark =
+          relieved ? std::max(At(capacity, zone) * limits.return_below,
+                              std::min(full, At(now, zone)))
+                   : full;
+      if (share <= mark)
+        continue;
+      excess += share - mark;
+      share = mark;
+    }
+  }
+  for (auto& [zone, part] : capacity) {
+    if (in.lost.count(zone))
+      part = 0;
+  }
+  const double unplaced = Fill(wanted, capacity, excess);
+  // Work that no zone has room for stays where the intent wants it and is
+  // refused by priority at the receiver.
+  if (unplaced > kEpsilon) {
+    Shares live;
+    for (const auto& [zone, share] :
+         in.intent->services.at(in.service).shares) {
+      live[zone] = in.lost.count(zone) ? 0 : std::max(share, kEpsilon);
+    }
+    const double total = Sum(live);
+    for (auto& [zone, share] : wanted) {
+      if (total > 0)
+        share += unplaced * At(live, zone) / total;
+    }
+  }
+  return wanted;
+}
+
+// Work leaves lost zones at once, within the budgets that the last plan gave.
+Shares AfterFailover(const PlannerInput& in, const Shares& from) {
+  Shares out = from;
+  double freed = 0;
+  Shares limit;
+  for (auto& [zone, share] : out) {
+    if (in.lost.count(zone)) {
+      freed += share;
+      share = 0;
+      continue;
+    }
+    const auto it = in.last->zones.find(zone);
+    limit[zone] =
+        share + (it == in.last->zones.end() ? 0 : it->second.failover_budget);
+  }
+  Fill(out, limit, freed);
+  return out;
+}
+
+double Moved(const Shares& from, const Shares& to) {
+  double up = 0;
+  for (const auto& [zone, share] : to)
+    up += std::max(0.0, share - At(from, zone));
+  return up;
+}
+
+// `from`, moved towards `to` by at most `allowed`. The sums may differ: what
+// was not placed after a failover is placed under the same bound.
+Shares Step(const Shares& from, const Shares& to, double allowed) {
+  const double whole = Moved(from, to);
+  const double part = whole <= allowed ? 1.0 : allowed / whole;
+  Shares out = from;
+  for (const auto& [zone, share] : to)
+    out[zone] = At(from, zone) + part * (share - At(from, zone));
+  for (auto& [zone, share] : out) {
+    if (to.count(zone) == 0)
+      share *= 1.0 - part;
+  }
+  return out;
+}
+
+Shares DemandParts(const PlannerInput& in, const Shares& shares) {
+  const double offered = OfferedSlots(in);
+  Shares out;
+  for (const auto& [zone, share] : shares) {
+    const auto it = in.measured.find(zone);
+    const double slots = it == in.measured.end() ? 0 : it->second.offered_slots;
+    out[zone] = offered > kEpsilon ? slots / offered : 0;
+  }
+  return out;
+}
+
+Shares KeptDemand(const PlannerInput& in, const Shares& shares) {
+  Shares out;
+  for (const auto& [zone, share] : shares) {
+    out[zone] = share;
+    if (!in.last)
+      continue;
+    const auto it = in.last->zones.find(zone);
+    if (it != in.last->zones.end())
+      out[zone] = it->second.demand;
+  }
+  return out;
+}
+
+bool DemandChanged(const PlannerInput& in,
+                   const PlannerLimits& limits,
+                   const Shares& demand) {
+  for (const auto& [zone, part] : demand) {
+    const auto it = in.last->zones.find(zone);
+    const double before = it == in.last->zones.end() ? 0 : it->second.demand;
+    if (std::abs(part - before) > limits.demand_deadband)
+      return true;
+  }
+  return false;
+}
+
+bool MixChanged(const PlannerInput& in, const PlannerLimits& limits) {
+  for (size_t n = 0; n < kPriorityCount; ++n) {
+    if (std::abs(in.mix[n] - in.last->mix[n]) > limits.demand_deadband)
+      return true;
+  }
+  return false;
+}
+
+bool BudgetChanged(const ServicePlan& a, const ServicePlan& b, double band) {
+  for (const auto& [zone, it] : a.zones) {
+    const auto other = b.zones.find(zone);
+    if (other == b.zones.end())
+      return true;
+    const double difference =
+        it.failover_budget - other->second.failover_budget;
+    if (std::abs(difference) > band)
+      return true;
+  }
+  return false;
+}
+
+ServicePlan Assemble(const PlannerInput& in,
+                     const Shares& shares,
+                     const Shares& demand,
+                     bool measured) {
+  const ServiceIntent& intent = in.intent->services.at(in.service);
+  ServicePlan plan;
+  plan.version = in.last ? in.last->version.Next() : Version(1);
+  plan.intent_version = in.intent->version;
+  plan.shift_cap_per_minute = intent.shift_cap_per_minute;
+  for (size_t n = 0; n < kPriorityCount; ++n)
+    plan.least_shares[n] = intent.priorities[n].least_share;
+  plan.mix = measured || !in.last ? in.mix : in.last->mix;
+  const Shares capacity = Capacity(in, measured);
+  for (const auto& [zone, share] : shares) {
+    ZonePlan& it = plan.zones[zone];
+    it.share = share < kEpsilon ? 0 : share;
+    it.demand = At(demand, zone);
+    // A zone whose work has just grown is cold: it takes no more for others
+    // than its headroom leaves.
+    it.failover_budget = std::max(0.0, At(capacity, zone) - share);
+  }
+  return plan;
+}
+
+}  // namespace
+
+double AllowedMove(double cap_per_minute,
+                   Duration elapsed,
+                   const PlannerLimits& limits) {
+  if (elapsed <= Duration::zero())
+    return 0;
+  const double credit = Seconds(std::min(elapsed, limits.max_credit));
+  // A minute that starts within one step and ends within another sees at most
+  // one credit more than its own length.
+  const double span = kSecondsPerMinute + Seconds(limits.max_credit);
+  return cap_per_minute * credit / span;
+}
+
+double MovedShare(const ServicePlan& from, const ServicePlan& to) {
+  return Moved(SharesOf(&from), SharesOf(&to));
+}
+
+std::optional<ServicePlan> NextPlan(const PlannerInput& in,
+                                    const PlannerLimits& limits) {
+  const auto intent = in.intent->services.find(in.service);
+  if (intent == in.intent->services.end())
+    return std::nullopt;
+  const bool measured = IsMeasured(in, limits);
+  if (!in.last) {
+    const Shares& shares = intent->second.shares;
+    const Shares demand =
+        measured ? DemandParts(in, shares) : KeptDemand(in, shares);
+    return Assemble(in, shares, demand, measured);
+  }
+  const Duration elapsed = in.now - in.last_seen;
+  const Shares before = SharesOf(in.last);
+  const Shares failed_over = AfterFailover(in, before);
+  const bool failover = Moved(before, failed_over) > kEpsilon;
+  if (elapsed < limits.least_interval && !failover)
+    return std::nullopt;
+  const bool hold = !measured && in.measurement_age &&
+                    *in.measurement_age < limits.hold &&
+                    in.last->intent_version == in.intent->version;
+  Shares next = failed_over;
+  if (!hold) {
+    const Shares wanted = WantedShares(in, limits, before, measured);
+    const double allowed =
+        AllowedMove(intent->second.shift_cap_per_minute, elapsed, limits);
+    if (Moved(failed_over, wanted) >= limits.least_move ||
+        Moved(wanted, failed_over) >= limits.least_move) {
+      next = Step(failed_over, wanted, allowed);
+    }
+  }
+  const Shares demand = measured ? DemandParts(in, next) : KeptDemand(in, next);
+  const bool demand_changed = measured && DemandChanged(in, limits, demand);
+  const ServicePlan plan = Assemble(
+      in, next, demand_changed ? demand : KeptDemand(in, next), measured);
+  const bool moved =
+      Moved(before, next) > kEpsilon || Moved(next, before) > kEpsilon;
+  const bool worth_it = moved || demand_changed ||
+                        (measured && MixChanged(in, limits)) ||
+                        in.last->intent_version != in.intent->version ||
+                        BudgetChanged(plan, *in.last, limits.demand_deadband);
+  if (!worth_it)
+    return std::nullopt;
+  return plan;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/poison.h
@@ -0,0 +1,57 @@
+// Requests that break the endpoints which run them.
+//
+// An endpoint's death makes every request on it a suspect. A suspect runs
+// only alone on its endpoint, so that a second death condemns nobody else.
+#ifndef DECISIONS_POISON_H_
+#define DECISIONS_POISON_H_
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "decisions/messages.h"
+
+namespace sassafras {
+
+struct PoisonLimits {
+  Duration suspect_for = std::chrono::minutes(5);
+  Duration quarantine_for = std::chrono::minutes(30);
+  size_t max_entries = 10000;
+};
+
+enum class PoisonVerdict { kInnocent, kSuspect, kQuarantined };
+
+struct PoisonEntry {
+  std::set<EndpointId> died;
+  bool ran_alone = false;  // Alone on the last endpoint that died.
+  Time expires;
+};
+
+struct PoisonList {
+  PoisonLimits limits;
+  std::unordered_map<Fingerprint, PoisonEntry> entries;
+};
+
+PoisonVerdict Judge(const PoisonList& list, Fingerprint fingerprint, Time now);
+
+// Records that `endpoint` died under the `running` requests. Returns the
+// notices for the other hosts.
+std::vector<PoisonNotice> OnEndpointDied(PoisonList& list,
+                                         const EndpointId& endpoint,
+                                         const std::set<Fingerprint>& running,
+                                         Time now);
+
+// Merges another host's notice.
+void OnPoisonNotice(PoisonList& list, const PoisonNotice& notice, Time now);
+
+// A suspect ran alone and its endpoint lives: it is innocent.
+void Acquit(PoisonList& list, Fingerprint fingerprint);
+
+void DropExpired(PoisonList& list, Time now);
+
+}  // namespace sassafras
+
+#endif  // DECISIONS_POISON_H_
--- /dev/null
+++ b/src/decisions/sheet.cc
@@ -0,0 +1,396 @@
+#include "decisions/sheet.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+constexpr double kPercent = 100.0;
+constexpr double kSumTolerance = 0.0005;  // 0.05 percentage points.
+constexpr double kGigabit = 1e9;
+// Least shares of all classes together leave room for urgent work.
+constexpr double kMaxLeastShares = 0.9;
+
+struct Fault {
+  SheetColumn column = SheetColumn::kKind;
+  std::string reason;
+};
+
+// Reads the cells of one row and remembers the first fault.
+class RowReader {
+ public:
+  explicit RowReader(const SheetRow& row) : row_(row) {}
+
+  const std::optional<Fault>& fault() const { return fault_; }
+  bool ok() const { return !fault_.has_value(); }
+
+  void Fail(SheetColumn column, std::string reason) {
+    if (!fault_)
+      fault_ = Fault{column, std::move(reason)};
+  }
+
+  std::string Text(SheetColumn column) {
+    used_.insert(column);
+    const auto it = row_.cells.find(column);
+    if (it != row_.cells.end())
+      return it->second;
+    Fail(column, "is missing");
+    return "";
+  }
+
+  bool Has(SheetColumn column) const { return row_.cells.count(column) > 0; }
+
+  // A number with a decimal point or comma within [low, high].
+  double Number(SheetColumn column, double low, double high) {
+    std::string text = Text(column);
+    if (!ok())
+      return 0;
+    std::replace(text.begin(), text.end(), ',', '.');
+    double value = 0;
+    const auto [end, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size() ||
+        !std::isfinite(value)) {
+      Fail(column, "'" + text + "' is not a number");
+      return 0;
+    }
+    if (value < low || value > high) {
+      Fail(column, "'" + text + "' is out of range");
+      return 0;
+    }
+    return value;
+  }
+
+  // Cells that a row of this kind does not use must be empty.
+  void ExpectNothingElse() {
+    for (const auto& [column, text] : row_.cells) {
+      if (column != SheetColumn::kKind && used_.count(column) == 0)
+        Fail(column, "has no meaning in a row of this kind");
+    }
+  }
+
+ private:
+  const SheetRow& row_;
+  std::set<SheetColumn> used_;
+  std::optional<Fault> fault_;
+};
+
+struct ShareRow {
+  int line = 0;
+  ZoneId zone;
+  double share = 0;
+};
+
+struct PriorityRow {
+  int line = 0;
+  Priority priority = Priority::kLow;
+  PriorityIntent intent;
+};
+
+// Rows of one service that are judged together.
+struct ServiceRows {
+  std::vector<ShareRow> shares;
+  std::vector<PriorityRow> priorities;
+  std::vector<int> share_lines;
+  std::vector<int> priority_lines;
+  bool share_fault = false;
+  bool priority_fault = false;
+};
+
+struct Judge {
+  const Topology& topology;
+  SheetReading reading;
+  std::map<ServiceId, ServiceRows> services;
+  std::map<int, RowVerdict> verdicts;  // By line.
+  std::set<std::string> seen;          // What has been declared already.
+
+  void Verdict(int line, const std::optional<Fault>& fault) {
+    RowVerdict verdict;
+    verdict.line = line;
+    verdict.accepted = !fault;
+    if (fault) {
+      verdict.field = std::string(NameOf(fault->column));
+      verdict.reason = fault->reason;
+    }
+    verdicts[line] = std::move(verdict);
+  }
+
+  // Refuses accepted rows because of others that they belong with.
+  void RefuseGroup(const std::vector<int>& lines,
+                   SheetColumn column,
+                   const std::string& reason) {
+    for (const int line : lines) {
+      if (verdicts[line].accepted)
+        Verdict(line, Fault{column, reason});
+    }
+  }
+
+  // Fails the row if the same thing was declared before.
+  void ExpectFirst(RowReader& row, SheetColumn column, std::string what) {
+    if (row.ok() && !seen.insert(std::move(what)).second)
+      row.Fail(column, "is declared twice");
+  }
+};
+
+ServiceId ReadService(RowReader& row, const Topology& topology) {
+  ServiceId service(row.Text(SheetColumn::kService));
+  if (row.ok() && topology.services.count(service) == 0)
+    row.Fail(SheetColumn::kService,
+             "'" + service.value() + "' is not a service of the settings");
+  return service;
+}
+
+RegionId ReadRegion(RowReader& row,
+                    const Topology& topology,
+                    SheetColumn column) {
+  RegionId region(row.Text(column));
+  const auto& regions = topology.regions;
+  if (row.ok() &&
+      std::find(regions.begin(), regions.end(), region) == regions.end()) {
+    row.Fail(column,
+             "'" + region.value() + "' is not a region of the settings");
+  }
+  return region;
+}
+
+ZoneId ReadZone(RowReader& row, const Topology& topology) {
+  const RegionId region = ReadRegion(row, topology, SheetColumn::kRegion);
+  ZoneId zone(row.Text(SheetColumn::kZone));
+  if (!row.ok())
+    return zone;
+  const RegionId* actual = RegionOfZone(topology, zone);
+  if (!actual) {
+    row.Fail(SheetColumn::kZone,
+             "'" + zone.value() + "' is not a zone of the settings");
+  } else if (*actual != region) {
+    row.Fail(SheetColumn::kZone,
+             "'" + zone.value() + "' is in region " + actual->value());
+  }
+  return zone;
+}
+
+// "YYYY-MM-DDTHH:MM[:SS]Z" in UTC; an absent cell means at once.
+int64_t ReadTime(RowReader& row) {
+  if (!row.Has(SheetColumn::kAt))
+    return 0;
+  const std::string text = row.Text(SheetColumn::kAt);
+  for (const char* format : {"%Y-%m-%dT%H:%M:%SZ", "%Y-%m-%dT%H:%MZ"}) {
+    std::tm tm{};
+    const char* end = strptime(text.c_str(), format, &tm);
+    if (end && *end == '\0')
+      return static_cast<int64_t>(timegm(&tm));
+  }
+  row.Fail(SheetColumn::kAt,
+           "'" + text + "' is not a time such as 2026-05-04T06:30Z");
+  return 0;
+}
+
+void JudgeShare(Judge& judge, const SheetRow& sheet_row, RowReader& row) {
+  const ServiceId service = ReadService(row, judge.topology);
+  ShareRow share;
+  share.line = sheet_row.line;
+  share.zone = ReadZone(row, judge.topology);
+  share.share = row.Number(SheetColumn::kPercent, 0, kPercent) / kPercent;
+  row.ExpectNothingElse();
+  judge.ExpectFirst(row, SheetColumn::kZone,
+                    "share/" + service.value() + "/" + share.zone.value());
+  ServiceRows& rows = judge.services[service];
+  rows.share_lines.push_back(sheet_row.line);
+  rows.share_fault = rows.share_fault || !row.ok();
+  rows.shares.push_back(share);
+}
+
+void JudgePriority(Judge& judge, const SheetRow& sheet_row, RowReader& row) {
+  const ServiceId service = ReadService(row, judge.topology);
+  PriorityRow it;
+  it.line = sheet_row.line;
+  const std::string name = row.Text(SheetColumn::kPriority);
+  const auto priority = FromName<Priority>(name);
+  if (row.ok() && !priority)
+    row.Fail(SheetColumn::kPriority,
+             "'" + name + "' is none of urgent, normal, low");
+  it.priority = priority.value_or(Priority::kLow);
+  it.intent.least_share =
+      row.Number(SheetColumn::kPercent, 0, kPercent) / kPercent;
+  constexpr double kMaxWeight = 1000;
+  if (row.Has(SheetColumn::kWeight))
+    it.intent.weight = row.Number(SheetColumn::kWeight, 0, kMaxWeight);
+  row.ExpectNothingElse();
+  judge.ExpectFirst(row, SheetColumn::kPriority,
+                    "priority/" + service.value() + "/" + name);
+  ServiceRows& rows = judge.services[service];
+  rows.priority_lines.push_back(sheet_row.line);
+  rows.priority_fault = rows.priority_fault || !row.ok();
+  rows.priorities.push_back(it);
+}
+
+void JudgeShiftCap(Judge& judge, RowReader& row) {
+  const ServiceId service = ReadService(row, judge.topology);
+  constexpr double kLeastPercent = 0.1;
+  const double cap =
+      row.Number(SheetColumn::kPercent, kLeastPercent, kPercent) / kPercent;
+  row.ExpectNothingElse();
+  judge.ExpectFirst(row, SheetColumn::kService, "shift_cap/" + service.value());
+  if (row.ok())
+    judge.reading.services[service].shift_cap_per_minute = cap;
+}
+
+void JudgeLeaving(Judge& judge, RowReader& row) {
+  LeavingEndpoint leaving;
+  leaving.endpoint = EndpointId(row.Text(SheetColumn::kEndpoint));
+  leaving.at_unix_seconds = ReadTime(row);
+  row.ExpectNothingElse();
+  judge.ExpectFirst(row, SheetColumn::kEndpoint,
+                    "leaving/" + leaving.endpoint.value());
+  if (row.ok())
+    judge.reading.leaving.push_back(leaving);
+  else if (!leaving.endpoint.empty())
+    judge.reading.refused_leaving.insert(leaving.endpoint);
+}
+
+void JudgeHeadroom(Judge& judge, RowReader& row) {
+  const RegionId region = ReadRegion(row, judge.topology, SheetColumn::kRegion);
+  constexpr double kMostHeadroom = 90;
+  const double part =
+      row.Number(SheetColumn::kPercent, 0, kMostHeadroom) / kPercent;
+  row.ExpectNothingElse();
+  judge.ExpectFirst(row, SheetColumn::kRegion, "headroom/" + region.value());
+  if (row.ok())
+    judge.reading.headroom[region] = part;
+}
+
+void JudgeLink(Judge& judge, RowReader& row) {
+  LinkBudget link;
+  link.from = ReadRegion(row, judge.topology, SheetColumn::kRegion);
+  link.to = ReadRegion(row, judge.topology, SheetColumn::kToRegion);
+  constexpr double kMostGbit = 10000;
+  link.bits_per_second =
+      row.Number(SheetColumn::kGbit, 0, kMostGbit) * kGigabit;
+  if (row.ok() && link.from == link.to)
+    row.Fail(SheetColumn::kToRegion, "is the same as region");
+  row.ExpectNothingElse();
+  judge.ExpectFirst(row, SheetColumn::kToRegion,
+                    "link/" + link.from.value() + "/" + link.to.value());
+  if (row.ok())
+    judge.reading.links.push_back(link);
+}
+
+void JudgeRow(Judge& judge, const SheetRow& sheet_row) {
+  RowReader row(sheet_row);
+  const std::string name = row.Text(SheetColumn::kKind);
+  const auto kind = FromName<RowKind>(name);
+  if (!kind) {
+    row.Fail(SheetColumn::kKind, "'" + name + "' is not a kind of row");
+    judge.Verdict(sheet_row.line, row.fault());
+    return;
+  }
+  switch (*kind) {
+    case RowKind::kShare:
+      JudgeShare(judge, sheet_row, row);
+      break;
+    case RowKind::kLeaving:
+      JudgeLeaving(judge, row);
+      break;
+    case RowKind::kPriority:
+      JudgePriority(judge, sheet_row, row);
+      break;
+    case RowKind::kShiftCap:
+      JudgeShiftCap(judge, row);
+      break;
+    case RowKind::kHeadroom:
+      JudgeHeadroom(judge, row);
+      break;
+    case RowKind::kLink:
+      JudgeLink(judge, row);
+      break;
+  }
+  judge.Verdict(sheet_row.line, row.fault());
+  if (!row.ok() && !row.Has(SheetColumn::kService))
+    return;
+  if (!row.ok())
+    judge.reading.refused_services.insert(
+        ServiceId(row.Text(SheetColumn::kService)));
+}
+
+std::string PercentText(double part) {
+  char buf[32];
+  std::snprintf(buf, sizeof(buf), "%.2f", part * kPercent);
+  return buf;
+}
+
+void JudgeShares(Judge& judge, const ServiceId& service, ServiceRows& rows) {
+  if (rows.shares.empty())
+    return;
+  if (rows.share_fault) {
+    judge.RefuseGroup(rows.share_lines, SheetColumn::kService,
+                      "another share of this service is refused");
+    judge.reading.refused_services.insert(service);
+    return;
+  }
+  double sum = 0;
+  for (const ShareRow& it : rows.shares)
+    sum += it.share;
+  if (std::abs(sum - 1.0) > kSumTolerance) {
+    judge.RefuseGroup(rows.share_lines, SheetColumn::kPercent,
+                      "the shares of this service make " + PercentText(sum) +
+                          " % and not 100 %");
+    judge.reading.refused_services.insert(service);
+    return;
+  }
+  std::map<ZoneId, double> shares;
+  for (const ShareRow& it : rows.shares)
+    shares[it.zone] = it.share / sum;
+  judge.reading.services[service].shares = std::move(shares);
+}
+
+void JudgePriorities(Judge& judge,
+                     const ServiceId& service,
+                     ServiceRows& rows) {
+  if (rows.priorities.empty())
+    return;
+  double sum = 0;
+  for (const PriorityRow& it : rows.priorities)
+    sum += it.intent.least_share;
+  if (rows.priority_fault || sum > kMaxLeastShares) {
+    const std::string reason =
+        rows.priority_fault ? "another priority row of this service is refused"
+                            : "the least shares of this service make " +
+                                  PercentText(sum) + " % and may make 90 %";
+    judge.RefuseGroup(rows.priority_lines, SheetColumn::kPercent, reason);
+    judge.reading.refused_services.insert(service);
+    return;
+  }
+  PerPriority<PriorityIntent> priorities;
+  for (const PriorityRow& it : rows.priorities)
+    priorities[IndexOf(it.priority)] = it.intent;
+  judge.reading.services[service].priorities = priorities;
+}
+
+}  // namespace
+
+SheetReading ReadSheet(const Sheet& sheet, const Topology& topology) {
+  Judge judge{topology, {}, {}, {}, {}};
+  for (const SheetRow& it : sheet.rows)
+    JudgeRow(judge, it);
+  for (auto& [service, rows] : judge.services) {
+    JudgeShares(judge, service, rows);
+    JudgePriorities(judge, service, rows);
+  }
+  for (auto& [line, verdict] : judge.verdicts)
+    judge.reading.verdicts.push_back(std::move(verdict));
+  return std::move(judge.reading);
+}
+
+size_t CountAccepted(const SheetReading& reading) {
+  return static_cast<size_t>(
+      std::count_if(reading.verdicts.begin(), reading.verdicts.end(),
+                    [](const RowVerdict& it) { return it.accepted; }));
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/decisions/topology_settings.h
@@ -0,0 +1,17 @@
+// The decision logic's view of the settings.
+#ifndef DECISIONS_TOPOLOGY_SETTINGS_H_
+#define DECISIONS_TOPOLOGY_SETTINGS_H_
+
+#include "base/settings.h"
+#include "decisions/topology.h"
+
+namespace sassafras {
+
+Topology MakeTopology(const Settings& settings);
+
+// The host that the settings describe. They must have a host's section.
+Host MakeSelf(const Settings& settings);
+
+}  // namespace sassafras
+
+#endif  // DECISIONS_TOPOLOGY_SETTINGS_H_
--- /dev/null
+++ b/src/endpoints/endpoint_client.cc
@@ -0,0 +1,379 @@
+#include <curl/curl.h>
+#include <strings.h>
+
+#include <charconv>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/http_client.h"
+#include "endpoints/endpoints.h"
+
+namespace sassafras {
+
+namespace {
+
+constexpr long kMaxPooledConnections = 2000;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpServerFault = 500;
+constexpr int kHttpContinueEnd = 200;
+constexpr char kExchangeHeader[] = "Sassafras-Exchange";
+
+bool SameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view TrimLine(std::string_view text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const size_t first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos)
+    return {};
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
+}
+
+class ClientImpl;
+
+// One request on its way. The client and the driver keep it alive until its
+// end.
+class Dispatching : public std::enable_shared_from_this<Dispatching> {
+ public:
+  Dispatching(ClientImpl& client,
+              Loop& loop,
+              EndpointRequest request,
+              EndpointClient::OnHead on_head,
+              EndpointClient::OnEnd on_end)
+      : client_(client),
+        loop_(loop),
+        request_(std::move(request)),
+        on_head_(std::move(on_head)),
+        on_end_(std::move(on_end)) {}
+  ~Dispatching();
+
+  void Prepare();
+  CURL* easy() const { return easy_; }
+  void OnDone(CURLcode code);
+  void OnCancelled();
+
+ private:
+  static size_t OnRead(char* out, size_t size, size_t count, void* self);
+  static size_t OnHeader(char* data, size_t size, size_t count, void* self);
+  static size_t OnWrite(char* data, size_t size, size_t count, void* self);
+  static int OnBeforeRequest(void* self, char*, char*, int, int);
+
+  size_t ReadBody(char* out, size_t size);
+  void TakeHeader(std::string_view line);
+  size_t TakeBody(const char* data, size_t size);
+  void SetBody();
+  void FinishHead();
+  void Unpause();
+  bool IsShed() const;
+  SlotOutcome OutcomeOf(CURLcode code) const;
+
+  ClientImpl& client_;
+  Loop& loop_;
+  EndpointRequest request_;
+  EndpointClient::OnHead on_head_;
+  EndpointClient::OnEnd on_end_;
+  CURL* easy_ = curl_easy_init();
+  curl_slist* headers_ = nullptr;
+  size_t whole_sent_ = 0;
+  int sends_ = 0;  // How often the library was about to send the request.
+  bool done_ = false;
+  bool paused_ = false;
+  bool unpause_posted_ = false;
+  bool head_given_ = false;
+  bool wrong_exchange_ = false;
+  bool has_shed_header_ = false;
+  EndpointAnswer answer_;
+  EndpointResult result_;
+  bool keeps_ = true;
+};
+
+class ClientImpl : public EndpointClient {
+ public:
+  explicit ClientImpl(Loop& loop)
+      : loop_(loop), driver_(loop, kMaxPooledConnections) {}
+
+  void Send(EndpointRequest request, OnHead on_head, OnEnd on_end) override {
+    const ExchangeId exchange = request.exchange;
+    auto it =
+        std::make_shared<Dispatching>(*this, loop_, std::move(request),
+                                      std::move(on_head), std::move(on_end));
+    running_[exchange] = it;
+    it->Prepare();
+    driver_.Add(it->easy(), [this, it, exchange](CURLcode code) {
+      running_.erase(exchange);
+      it->OnDone(code);
+    });
+  }
+
+  void Cancel(ExchangeId exchange) override {
+    const auto it = running_.find(exchange);
+    if (it == running_.end())
+      return;
+    const auto dispatching = it->second;
+    running_.erase(it);
+    driver_.Remove(dispatching->easy());
+    dispatching->OnCancelled();
+  }
+
+ private:
+  Loop& loop_;
+  CurlDriver driver_;
+  std::unordered_map<ExchangeId, std::shared_ptr<Dispatching>> running_;
+};
+
+Dispatching::~Dispatching() {
+  curl_slist_free_all(headers_);
+  curl_easy_cleanup(easy_);
+}
+
+void Dispatching::Prepare() {
+  const std::string url =
+      "http://" + request_.address.ToString() + request_.target;
+  curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  if (request_.method == "HEAD")
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+  const int64_t ms = std::max<int64_t>(1, Millis(request_.timeout));
+  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, static_cast<long>(ms));
+  for (const auto& [name, value] : request_.headers) {
+    std::string line = name;
+    line += ": ";
+    line += value;
+    headers_ = curl_slist_append(headers_, line.c_str());
+  }
+  const std::string id = std::string(kExchangeHeader) + ": " +
+                         std::to_string(request_.exchange.value());
+  headers_ = curl_slist_append(headers_, id.c_str());
+  SetBody();
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
+  curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Dispatching::OnHeader);
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Dispatching::OnWrite);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION,
+                   &Dispatching::OnBeforeRequest);
+  curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+}
+
+void Dispatching::SetBody() {
+  const bool streamed = request_.body != nullptr;
+  if (!streamed && request_.whole_body.empty())
+    return;
+  curl_easy_setopt(easy_, CURLOPT_UPLOAD, 1L);
+  curl_easy_setopt(easy_, CURLOPT_READFUNCTION, &Dispatching::OnRead);
+  curl_easy_setopt(easy_, CURLOPT_READDATA, this);
+  headers_ = curl_slist_append(headers_, "Expect:");
+  if (!streamed) {
+    curl_easy_setopt(easy_, CURLOPT_INFILESIZE_LARGE,
+                     static_cast<curl_off_t>(request_.whole_body.size()));
+    return;
+  }
+  if (request_.body_length) {
+    curl_easy_setopt(easy_, CURLOPT_INFILESIZE_LARGE,
+                     static_cast<curl_off_t>(*request_.body_length));
+  } else {
+    headers_ = curl_slist_append(headers_, "Transfer-Encoding: chunked");
+  }
+  request_.body->set_on_data([weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->Unpause();
+  });
+}
+
+// The library calls this when a connection stands and before it sends. A
+// second call would be a repetition of a request that may have been received.
+int Dispatching::OnBeforeRequest(void* self, char*, char*, int, int) {
+  auto* it = static_cast<Dispatching*>(self);
+  ++it->sends_;
+  return it->sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+size_t Dispatching::OnRead(char* out, size_t size, size_t count, void* self) {
+  return static_cast<Dispatching*>(self)->ReadBody(out, size * count);
+}
+
+size_t Dispatching::ReadBody(char* out, size_t size) {
+  if (!request_.body) {
+    const size_t n = request_.whole_body.copy(out, size, whole_sent_);
+    whole_sent_ += n;
+    return n;
+  }
+  BytePipe& body = *request_.body;
+  if (body.is_aborted())
+    return CURL_READFUNC_ABORT;
+  const size_t n = body.Read(out, size);
+  if (n > 0) {
+    result_.body_consumed = true;
+    return n;
+  }
+  if (body.is_ended())
+    return 0;
+  paused_ = true;
+  return CURL_READFUNC_PAUSE;
+}
+
+size_t Dispatching::OnHeader(char* data,
+                             size_t size,
+                             size_t count,
+                             void* self) {
+  static_cast<Dispatching*>(self)->TakeHeader({data, size * count});
+  return size * count;
+}
+
+void Dispatching::TakeHeader(std::string_view line) {
+  line = TrimLine(line);
+  if (line.substr(0, 5) == "HTTP/") {
+    answer_ = EndpointAnswer();
+    has_shed_header_ = false;
+    return;
+  }
+  const size_t colon = line.find(':');
+  if (line.empty() || colon == std::string_view::npos)
+    return;
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = TrimLine(line.substr(colon + 1));
+  if (SameName(name, kExchangeHeader)) {
+    wrong_exchange_ = value != std::to_string(request_.exchange.value());
+    return;
+  }
+  if (SameName(name, "Content-Length")) {
+    uint64_t n = 0;
+    if (std::from_chars(value.begin(), value.end(), n).ec == std::errc())
+      answer_.length = n;
+  }
+  has_shed_header_ = has_shed_header_ || (!request_.shed_header.empty() &&
+                                          SameName(name, request_.shed_header));
+  answer_.headers.emplace_back(name, value);
+}
+
+bool Dispatching::IsShed() const {
+  return answer_.status == kHttpUnavailable && has_shed_header_;
+}
+
+size_t Dispatching::OnWrite(char* data, size_t size, size_t count, void* self) {
+  return static_cast<Dispatching*>(self)->TakeBody(data, size * count);
+}
+
+size_t Dispatching::TakeBody(const char* data, size_t size) {
+  FinishHead();
+  if (wrong_exchange_)
+    return 0;  // An answer to another request: the transfer fails.
+  if (IsShed())
+    return size;
+  if (answer_.body->is_aborted())
+    return 0;
+  if (answer_.body->is_full()) {
+    paused_ = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  answer_.body->WriteAll(data, size);
+  if (keeps_ && result_.answer.body.size() + size <= request_.keep_bytes) {
+    result_.answer.body.append(data, size);
+  } else {
+    keeps_ = false;
+    result_.answer.body.clear();
+  }
+  return size;
+}
+
+// Hands the head on, once.
+void Dispatching::FinishHead() {
+  if (head_given_ || wrong_exchange_)
+    return;
+  long status = 0;
+  curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+  answer_.status = static_cast<int>(status);
+  if (IsShed())
+    return;
+  head_given_ = true;
+  answer_.body = std::make_shared<BytePipe>(request_.buffer_bytes);
+  answer_.body->set_on_space([weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->Unpause();
+  });
+  on_head_(answer_);
+}
+
+// Resumes on a later turn: the library must not be called back from within
+// its own callbacks.
+void Dispatching::Unpause() {
+  if (unpause_posted_ || done_)
+    return;
+  unpause_posted_ = true;
+  loop_.Post([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self)
+      return;
+    self->unpause_posted_ = false;
+    if (self->done_ || !self->paused_)
+      return;
+    self->paused_ = false;
+    curl_easy_pause(self->easy_, CURLPAUSE_CONT);
+  });
+}
+
+SlotOutcome Dispatching::OutcomeOf(CURLcode code) const {
+  if (code == CURLE_OK && !wrong_exchange_ &&
+      answer_.status >= kHttpContinueEnd) {
+    if (IsShed())
+      return SlotOutcome::kShed;
+    return answer_.status >= kHttpServerFault ? SlotOutcome::kFailed
+                                              : SlotOutcome::kAnswered;
+  }
+  if (sends_ == 0)
+    return SlotOutcome::kConnectFailed;
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    return SlotOutcome::kTimedOut;
+  // A caller that went away in the middle of its body or of the answer is not
+  // the endpoint's fault.
+  const bool caller_left = (request_.body && request_.body->is_aborted()) ||
+                           (answer_.body && answer_.body->is_aborted());
+  return caller_left ? SlotOutcome::kCancelled : SlotOutcome::kBroken;
+}
+
+void Dispatching::OnDone(CURLcode code) {
+  if (code == CURLE_OK)
+    FinishHead();
+  done_ = true;
+  if (request_.body)
+    request_.body->set_on_data(nullptr);
+  result_.outcome = OutcomeOf(code);
+  result_.answer_begun = head_given_;
+  const bool whole = result_.outcome == SlotOutcome::kAnswered ||
+                     result_.outcome == SlotOutcome::kFailed;
+  if (head_given_) {
+    if (whole)
+      answer_.body->End();
+    else
+      answer_.body->Abort();
+  }
+  result_.answer_kept = whole && keeps_;
+  result_.answer.status = answer_.status;
+  for (const auto& [name, value] : answer_.headers) {
+    if (SameName(name, "Content-Type"))
+      result_.answer.content_type = value;
+  }
+  on_end_(std::move(result_));
+}
+
+void Dispatching::OnCancelled() {
+  done_ = true;
+  if (request_.body) {
+    request_.body->set_on_data(nullptr);
+    request_.body->Abort();
+  }
+  if (head_given_)
+    answer_.body->Abort();
+}
+
+}  // namespace
+
+std::unique_ptr<EndpointClient> MakeEndpointClient(Loop& loop) {
+  return std::make_unique<ClientImpl>(loop);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/load/load_run.cc
@@ -0,0 +1,298 @@
+#include <arpa/inet.h>
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "base/http_client.h"
+#include "load/load.h"
+
+namespace sassafras {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr long kMaxConnections = 4000;
+constexpr long kHttpClientFault = 400;
+constexpr Duration kPace = std::chrono::milliseconds(2);
+constexpr Duration kDrainTime = std::chrono::seconds(20);
+
+size_t Append(char* data, size_t size, size_t count, void* self) {
+  static_cast<std::string*>(self)->append(data, size * count);
+  return size * count;
+}
+
+struct Transfer {
+  CURL* easy = curl_easy_init();
+  curl_slist* headers = nullptr;
+  std::string response;
+
+  Transfer() = default;
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+  ~Transfer() {
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(easy);
+  }
+};
+
+// What a caller has cached of its last look-up.
+struct Cached {
+  std::vector<std::pair<Address, int>> hosts;  // With weights.
+  std::string key_prefix;
+  Time until;
+};
+
+class Runner {
+ public:
+  Runner(Loop& loop, const LoadPlan& plan)
+      : loop_(loop),
+        plan_(plan),
+        driver_(loop, kMaxConnections),
+        random_(plan.seed) {
+    in_addr first{};
+    inet_pton(AF_INET, plan.first_client_ip.c_str(), &first);
+    first_ip_ = ntohl(first.s_addr);
+    for (const LoadKind& it : plan.kinds)
+      rows_.push_back(LoadRow{it.name, 0, 0, 0, 0, 0, {}});
+    largest_body_ = 0;
+    for (const LoadKind& it : plan.kinds)
+      largest_body_ = std::max(largest_body_, it.body_bytes);
+    body_.assign(largest_body_, 'x');
+    owed_.resize(plan.kinds.size());
+  }
+
+  std::vector<LoadRow> Run(
+      const std::function<void(const std::vector<LoadRow>&)>& on_second) {
+    start_ = loop_.Now();
+    last_ = start_;
+    auto pace = loop_.Every(kPace, [this] { Pace(); });
+    auto progress =
+        loop_.Every(std::chrono::seconds(1), [&] { on_second(rows_); });
+    loop_.Run();
+    return rows_;
+  }
+
+ private:
+  void Pace() {
+    const Time now = loop_.Now();
+    const Time end = start_ + plan_.duration;
+    if (now >= end) {
+      if (open_ == 0 || now >= end + kDrainTime)
+        loop_.Stop();
+      return;
+    }
+    const double elapsed = Seconds(now - last_);
+    last_ = now;
+    for (size_t n = 0; n < plan_.kinds.size(); ++n) {
+      owed_[n] += elapsed * plan_.kinds[n].requests_per_second;
+      while (owed_[n] >= 1.0) {
+        owed_[n] -= 1.0;
+        Begin(n);
+      }
+    }
+  }
+
+  std::string ClientIp(size_t caller) const {
+    in_addr ip{};
+    // Callers spread over networks, so that they differ in their block.
+    constexpr uint32_t kStep = 259;
+    ip.s_addr = htonl(first_ip_ + static_cast<uint32_t>(caller) * kStep);
+    char buf[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &ip, buf, sizeof(buf));
+    return buf;
+  }
+
+  void Begin(size_t kind) {
+    const size_t caller = random_() % plan_.callers;
+    ++rows_[kind].sent;
+    ++open_;
+    const auto it = cache_.find({plan_.kinds[kind].service, caller});
+    if (it != cache_.end() && loop_.Now() < it->second.until) {
+      Call(kind, caller, it->second);
+      return;
+    }
+    LookUp(kind, caller, 3);
+  }
+
+  void LookUp(size_t kind, size_t caller, int tries) {
+    const Address& entry = plan_.entries[random_() % plan_.entries.size()];
+    const std::string& service = plan_.kinds[kind].service;
+    auto transfer =
+        Make("http://" + entry.ToString() + "/v1/lookup?service=" + service +
+             "&client=" + ClientIp(caller));
+    curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS, 2000L);
+    CURL* easy = transfer->easy;
+    driver_.Add(easy, [=](CURLcode code) {
+      Cached cached;
+      if (code == CURLE_OK && ReadLookup(transfer->response, cached)) {
+        cache_[{service, caller}] = cached;
+        Call(kind, caller, cached);
+      } else if (tries > 1) {
+        LookUp(kind, caller, tries - 1);
+      } else {
+        ++rows_[kind].broken;
+        --open_;
+      }
+    });
+  }
+
+  bool ReadLookup(const std::string& text, Cached& out) const {
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("hosts"))
+      return false;
+    out.key_prefix = json.value("key_prefix", "");
+    out.until = loop_.Now() + std::chrono::seconds(json.value("ttl", 1));
+    for (const Json& it : json["hosts"]) {
+      const auto address = Address::Parse(it.value("address", ""));
+      if (address)
+        out.hosts.emplace_back(*address, it.value("weight", 1));
+    }
+    return !out.hosts.empty();
+  }
+
+  const Address& PickHost(const Cached& cached) {
+    int sum = 0;
+    for (const auto& [address, weight] : cached.hosts)
+      sum += weight;
+    int at = static_cast<int>(random_() % static_cast<uint64_t>(sum));
+    for (const auto& [address, weight] : cached.hosts) {
+      at -= weight;
+      if (at < 0)
+        return address;
+    }
+    return cached.hosts.front().first;
+  }
+
+  void Call(size_t kind, size_t caller, const Cached& cached) {
+    const LoadKind& it = plan_.kinds[kind];
+    // Requests differ in their target, as those of many callers do.
+    const std::string id = std::to_string(++next_id_);
+    auto transfer = Make("http://" + PickHost(cached).ToString() + "/v1/call/" +
+                         it.service + it.path + "?n=" + id);
+    CURL* easy = transfer->easy;
+    const std::string caller_header =
+        "Caller-Id: caller-" + std::to_string(caller);
+    const std::string timeout_header =
+        "Request-Timeout: " + std::to_string(it.timeout.count() / 1e3);
+    transfer->headers = curl_slist_append(nullptr, caller_header.c_str());
+    transfer->headers =
+        curl_slist_append(transfer->headers, timeout_header.c_str());
+    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+    if (it.with_key) {
+      const std::string key = "Idempotency-Key: " + cached.key_prefix + "load" +
+                              std::to_string(plan_.seed) + "-" + id;
+      transfer->headers = curl_slist_append(transfer->headers, key.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, it.method.c_str());
+    if (it.body_bytes > 0) {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body_.c_str());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                       static_cast<long>(it.body_bytes));
+    }
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(it.timeout.count() + 2000));
+    const Time begun = loop_.Now();
+    driver_.Add(easy, [=](CURLcode code) {
+      --open_;
+      Record(rows_[kind], *transfer, code, loop_.Now() - begun);
+    });
+  }
+
+  static void Record(LoadRow& row,
+                     const Transfer& transfer,
+                     CURLcode code,
+                     Duration latency) {
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    if (code != CURLE_OK || status == 0) {
+      ++row.broken;
+      return;
+    }
+    if (status < kHttpClientFault) {
+      ++row.answered;
+      row.latencies.push_back(latency);
+      return;
+    }
+    const Json json = Json::parse(transfer.response, nullptr, false);
+    const bool not_run = json.is_object() && json.value("ran", "") == "no";
+    ++(not_run ? row.refused_not_run : row.refused_unknown);
+  }
+
+  std::shared_ptr<Transfer> Make(const std::string& url) {
+    auto transfer = std::make_shared<Transfer>();
+    CURL* easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Append);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->response);
+    return transfer;
+  }
+
+  Loop& loop_;
+  const LoadPlan& plan_;
+  CurlDriver driver_;
+  std::mt19937_64 random_;
+  uint32_t first_ip_ = 0;
+  std::vector<LoadRow> rows_;
+  std::vector<double> owed_;
+  size_t largest_body_ = 0;
+  std::string body_;
+  std::map<std::pair<std::string, size_t>, Cached> cache_;
+  Time start_;
+  Time last_;
+  uint64_t next_id_ = 0;
+  uint64_t open_ = 0;
+};
+
+}  // namespace
+
+Duration Percentile(const LoadRow& row, double part) {
+  if (row.latencies.empty())
+    return Duration(0);
+  std::vector<Duration> sorted = row.latencies;
+  const auto n = static_cast<size_t>(
+      std::floor(part * static_cast<double>(sorted.size() - 1)));
+  std::nth_element(sorted.begin(),
+                   sorted.begin() + static_cast<std::ptrdiff_t>(n),
+                   sorted.end());
+  return sorted[n];
+}
+
+std::vector<LoadRow> RunLoad(
+    Loop& loop,
+    const LoadPlan& plan,
+    const std::function<void(const std::vector<LoadRow>&)>& on_second) {
+  return Runner(loop, plan).Run(on_second);
+}
+
+std::string LoadTable(const std::vector<LoadRow>& rows) {
+  std::string out;
+  char buf[160];
+  std::snprintf(buf, sizeof(buf), "%-10s %8s %9s %8s %8s %7s %9s %9s\n", "kind",
+                "sent", "answered", "refused", "unknown", "broken", "p50 ms",
+                "p99 ms");
+  out += buf;
+  for (const LoadRow& it : rows) {
+    constexpr double kMsPerSecond = 1e3;
+    std::snprintf(buf, sizeof(buf),
+                  "%-10s %8lu %9lu %8lu %8lu %7lu %9.1f %9.1f\n",
+                  it.name.c_str(), it.sent, it.answered, it.refused_not_run,
+                  it.refused_unknown, it.broken,
+                  Seconds(Percentile(it, 0.5)) * kMsPerSecond,
+                  Seconds(Percentile(it, 0.99)) * kMsPerSecond);
+    out += buf;
+  }
+  return out;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,42 @@
+// The platform's store: objects with versions, conditional updates and
+// watches, over HTTP with JSON. Another store of this shape needs only
+// another implementation of this interface.
+#ifndef STORE_STORE_H_
+#define STORE_STORE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/address.h"
+#include "base/loop.h"
+#include "decisions/store_calls.h"
+
+namespace sassafras {
+
+class Store {
+ public:
+  using Done = std::function<void(StoreReply)>;
+  virtual ~Store() = default;
+
+  virtual void Get(const StoreGet& get, Done done) = 0;
+  virtual void List(const StoreList& list, Done done) = 0;
+  virtual void PutIf(const StorePut& put, Done done) = 0;
+
+  // Lists the kind and then follows its changes until the Watch is
+  // destroyed. `on_objects(objects, complete)` gets the whole list with
+  // `complete`, then changes; after an interruption a whole list again.
+  virtual std::unique_ptr<Watch> Follow(
+      const std::string& kind,
+      std::function<void(std::vector<StoreObject>, bool)> on_objects) = 0;
+};
+
+// A client of the store at `address`.
+std::unique_ptr<Store> ConnectStore(Loop& loop,
+                                    const Address& address,
+                                    std::chrono::milliseconds timeout);
+
+}  // namespace sassafras
+
+#endif  // STORE_STORE_H_
--- /dev/null
+++ b/src/store/store_client.cc
@@ -0,0 +1,374 @@
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/http_client.h"
+#include "base/log.h"
+#include "store/store.h"
+
+namespace sassafras {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpCreated = 201;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpTooMany = 429;
+constexpr int kHttpGone = 410;
+constexpr long kMaxConnections = 16;
+constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+constexpr Duration kLongestPause = std::chrono::seconds(3);
+// A watch without any event is opened again after this time.
+constexpr std::chrono::seconds kWatchTime{30};
+
+// One HTTP exchange; it lives until its driver reports the end.
+struct Transfer {
+  CURL* easy = curl_easy_init();
+  curl_slist* headers = nullptr;
+  std::string request;
+  std::string response;
+  std::function<void(std::string_view)> on_data;  // Instead of `response`.
+
+  Transfer() = default;
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+  ~Transfer() {
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(easy);
+  }
+
+  long Status() const {
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    return status;
+  }
+};
+
+size_t OnBody(char* data, size_t size, size_t count, void* self) {
+  auto* transfer = static_cast<Transfer*>(self);
+  const std::string_view text(data, size * count);
+  if (transfer->on_data)
+    transfer->on_data(text);
+  else
+    transfer->response.append(text);
+  return size * count;
+}
+
+std::shared_ptr<Transfer> MakeTransfer(const std::string& url) {
+  auto transfer = std::make_shared<Transfer>();
+  CURL* easy = transfer->easy;
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  return transfer;
+}
+
+StoreObject ObjectOf(const Json& json) {
+  StoreObject object;
+  object.kind = json.at("kind").get<std::string>();
+  const Json& metadata = json.at("metadata");
+  object.name = metadata.at("name").get<std::string>();
+  const auto revision = metadata.at("resourceVersion").get<std::string>();
+  object.revision = std::stoull(revision);
+  object.value = json.at("spec").dump();
+  return object;
+}
+
+// The objects in an answer: a list's items or one object.
+std::vector<StoreObject> ObjectsOf(const std::string& body) {
+  const Json json = Json::parse(body);
+  std::vector<StoreObject> out;
+  if (!json.contains("items")) {
+    out.push_back(ObjectOf(json));
+    return out;
+  }
+  for (const Json& it : json.at("items"))
+    out.push_back(ObjectOf(it));
+  return out;
+}
+
+// Whether the call may have reached the store.
+bool MayHaveArrived(CURLcode code) {
+  return code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST;
+}
+
+StoreReply ReplyOf(const Transfer& transfer, CURLcode code, bool is_write) {
+  StoreReply reply;
+  const long status = transfer.Status();
+  const StoreStatus lost =
+      is_write ? StoreStatus::kUnknown : StoreStatus::kUnavailable;
+  if (code != CURLE_OK) {
+    reply.status = MayHaveArrived(code) ? lost : StoreStatus::kUnavailable;
+    return reply;
+  }
+  if (status == kHttpNotFound) {
+    reply.status = StoreStatus::kNotFound;
+    return reply;
+  }
+  if (status == kHttpTooMany) {
+    reply.status = StoreStatus::kUnavailable;
+    return reply;
+  }
+  if (status != kHttpOk && status != kHttpCreated && status != kHttpConflict) {
+    reply.status = lost;
+    return reply;
+  }
+  try {
+    if (!transfer.response.empty())
+      reply.objects = ObjectsOf(transfer.response);
+    reply.status =
+        status == kHttpConflict ? StoreStatus::kConflict : StoreStatus::kOk;
+  } catch (const std::exception&) {
+    reply.status = lost;
+    reply.objects.clear();
+  }
+  return reply;
+}
+
+class StoreClient;
+
+// Follows one kind: list, watch, and again after an interruption.
+class Follower : public Watch, public std::enable_shared_from_this<Follower> {
+ public:
+  using OnObjects = std::function<void(std::vector<StoreObject>, bool)>;
+
+  Follower(StoreClient& client, Loop& loop, std::string kind, OnObjects fn)
+      : client_(client),
+        loop_(loop),
+        kind_(std::move(kind)),
+        on_objects_(std::move(fn)) {}
+  ~Follower() override;
+
+  void ReadList();
+
+ private:
+  void TakeList(const std::string& body);
+  void StartWatch();
+  void TakeData(std::string_view data);
+  void TakeLine(const std::string& line);
+  void RetryLater();
+
+  StoreClient& client_;
+  Loop& loop_;
+  std::string kind_;
+  OnObjects on_objects_;
+  uint64_t revision_ = 0;
+  std::string buffer_;
+  bool broken_ = false;
+  std::shared_ptr<Transfer> transfer_;
+  std::unique_ptr<Watch> pause_;
+  Duration next_pause_ = kFirstPause;
+};
+
+class StoreClient : public Store {
+ public:
+  StoreClient(Loop& loop,
+              const Address& address,
+              std::chrono::milliseconds timeout)
+      : loop_(loop),
+        driver_(loop, kMaxConnections),
+        base_("http://" + address.ToString() + "/v1/objects/"),
+        timeout_(timeout) {}
+
+  void Get(const StoreGet& get, Done done) override {
+    Read(get.kind + "/" + get.name, std::move(done));
+  }
+
+  void List(const StoreList& list, Done done) override {
+    Read(list.kind, std::move(done));
+  }
+
+  void PutIf(const StorePut& put, Done done) override {
+    auto transfer = MakeTransfer(base_ + put.kind + "/" + put.name);
+    Json body = {
+        {"kind", put.kind},
+        {"metadata",
+         {{"name", put.name},
+          {"resourceVersion", std::to_string(put.expected_revision)}}}};
+    body["spec"] = Json::parse(put.value, nullptr, false);
+    transfer->request = body.dump();
+    CURL* easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->request.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(transfer->request.size()));
+    transfer->headers =
+        curl_slist_append(nullptr, "Content-Type: application/json");
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    Start(std::move(transfer), true, std::move(done));
+  }
+
+  std::unique_ptr<Watch> Follow(
+      const std::string& kind,
+      std::function<void(std::vector<StoreObject>, bool)> on_objects) override;
+
+  CurlDriver& driver() { return driver_; }
+  const std::string& base() const { return base_; }
+  std::chrono::milliseconds timeout() const { return timeout_; }
+
+ private:
+  void Read(const std::string& path, Done done) {
+    Start(MakeTransfer(base_ + path), false, std::move(done));
+  }
+
+  void Start(std::shared_ptr<Transfer> transfer, bool is_write, Done done) {
+    curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(timeout_.count()));
+    CURL* easy = transfer->easy;
+    driver_.Add(easy, [transfer = std::move(transfer), is_write,
+                       done = std::move(done)](CURLcode code) {
+      done(ReplyOf(*transfer, code, is_write));
+    });
+  }
+
+  Loop& loop_;
+  CurlDriver driver_;
+  std::string base_;
+  std::chrono::milliseconds timeout_;
+};
+
+Follower::~Follower() {
+  if (transfer_)
+    client_.driver().Remove(transfer_->easy);
+}
+
+void Follower::ReadList() {
+  pause_.reset();
+  transfer_ = MakeTransfer(client_.base() + kind_);
+  curl_easy_setopt(transfer_->easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(client_.timeout().count()));
+  client_.driver().Add(transfer_->easy,
+                       [weak = weak_from_this()](CURLcode code) {
+                         const auto self = weak.lock();
+                         if (!self)
+                           return;
+                         const auto transfer = std::move(self->transfer_);
+                         if (code != CURLE_OK || transfer->Status() != kHttpOk)
+                           self->RetryLater();
+                         else
+                           self->TakeList(transfer->response);
+                       });
+}
+
+void Follower::TakeList(const std::string& body) {
+  try {
+    const Json json = Json::parse(body);
+    const auto revision =
+        json.at("metadata").at("resourceVersion").get<std::string>();
+    revision_ = std::stoull(revision);
+    on_objects_(ObjectsOf(body), true);
+  } catch (const std::exception& e) {
+    LogLine(LogLevel::kWarning, "store", "List is malformed.")
+        .With("kind", kind_)
+        .With("reason", e.what());
+    RetryLater();
+    return;
+  }
+  next_pause_ = kFirstPause;
+  StartWatch();
+}
+
+void Follower::StartWatch() {
+  buffer_.clear();
+  broken_ = false;
+  transfer_ =
+      MakeTransfer(client_.base() + kind_ +
+                   "?watch=1&resourceVersion=" + std::to_string(revision_) +
+                   "&timeoutSeconds=" + std::to_string(kWatchTime.count()));
+  constexpr long kMargin = 5;
+  curl_easy_setopt(transfer_->easy, CURLOPT_TIMEOUT,
+                   static_cast<long>(kWatchTime.count()) + kMargin);
+  transfer_->on_data = [this](std::string_view data) { TakeData(data); };
+  client_.driver().Add(
+      transfer_->easy, [weak = weak_from_this()](CURLcode code) {
+        const auto self = weak.lock();
+        if (!self)
+          return;
+        const auto transfer = std::move(self->transfer_);
+        const bool ended_well =
+            code == CURLE_OK && transfer->Status() == kHttpOk && !self->broken_;
+        // A watch that is too old (410) or broken begins with a list again.
+        if (ended_well)
+          self->StartWatch();
+        else if (transfer->Status() == kHttpGone)
+          self->ReadList();
+        else
+          self->RetryLater();
+      });
+}
+
+void Follower::TakeData(std::string_view data) {
+  buffer_.append(data);
+  size_t start = 0;
+  for (size_t end = buffer_.find('\n', start); end != std::string::npos;
+       end = buffer_.find('\n', start)) {
+    TakeLine(buffer_.substr(start, end - start));
+    start = end + 1;
+  }
+  buffer_.erase(0, start);
+}
+
+void Follower::TakeLine(const std::string& line) {
+  if (line.empty())
+    return;
+  try {
+    const Json json = Json::parse(line);
+    if (!json.contains("object"))
+      return;
+    StoreObject object = ObjectOf(json.at("object"));
+    revision_ = std::max(revision_, object.revision);
+    std::vector<StoreObject> objects;
+    objects.push_back(std::move(object));
+    loop_.Post([weak = weak_from_this(), objects = std::move(objects)] {
+      if (const auto self = weak.lock())
+        self->on_objects_(objects, false);
+    });
+  } catch (const std::exception&) {
+    broken_ = true;
+  }
+}
+
+void Follower::RetryLater() {
+  const Duration pause = next_pause_;
+  next_pause_ = std::min(next_pause_ * 2, kLongestPause);
+  pause_ = loop_.After(pause, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->ReadList();
+  });
+}
+
+// Ends the follower when its owner drops it.
+class FollowHandle : public Watch {
+ public:
+  explicit FollowHandle(std::shared_ptr<Follower> follower)
+      : follower_(std::move(follower)) {}
+
+ private:
+  std::shared_ptr<Follower> follower_;
+};
+
+std::unique_ptr<Watch> StoreClient::Follow(
+    const std::string& kind,
+    std::function<void(std::vector<StoreObject>, bool)> on_objects) {
+  auto follower =
+      std::make_shared<Follower>(*this, loop_, kind, std::move(on_objects));
+  follower->ReadList();
+  return std::make_unique<FollowHandle>(std::move(follower));
+}
+
+}  // namespace
+
+std::unique_ptr<Store> ConnectStore(Loop& loop,
+                                    const Address& address,
+                                    std::chrono::milliseconds timeout) {
+  return std::make_unique<StoreClient>(loop, address, timeout);
+}
+
+}  // namespace sassafras
