--- a/src/decisions/control_decide.cc
+++ b/src/decisions/control_decide.cc
@@ -124,6 +124,21 @@
   return input;
 }
 
+// The first views of a region wait until its hosts have been heard of, for a
+// bounded time.
+bool IsRegionComplete(const Turn& turn,
+                      const HostList& hosts,
+                      const RegionId& region,
+                      const ViewChangeInput& input) {
+  const auto listed =
+      std::count_if(hosts.hosts.begin(), hosts.hosts.end(),
+                    [&](const Host& it) { return it.region == region; });
+  const auto heard =
+      static_cast<std::ptrdiff_t>(input.live.size() + input.leaving.size());
+  return heard >= listed ||
+         turn.now - turn.node.leading_since >= turn.node.limits.report_age;
+}
+
 void DecideViews(Turn& turn, const HostList& hosts) {
   ControlNode& node = turn.node;
   for (const RegionId& region : node.topology.regions) {
@@ -138,8 +153,10 @@
         continue;
       views = std::move(*held);
     }
-    const auto next =
-        ChangeViews(views, ViewInput(node, hosts, region, turn.now));
+    const ViewChangeInput input = ViewInput(node, hosts, region, turn.now);
+    if (views.shards.empty() && !IsRegionComplete(turn, hosts, region, input))
+      continue;
+    const auto next = ChangeViews(views, input);
     if (next)
       Write(turn, key, Json(*next).dump());
   }
--- a/src/decisions/entry_keys.cc
+++ b/src/decisions/entry_keys.cc
@@ -18,9 +18,12 @@
   if (StateOf(node.membership, owner, now) == HostState::kDead)
     return false;
   const auto it = node.membership.contacts.find(owner);
-  // Without direct contact the incarnation is not known; the host lives.
-  if (it == node.membership.contacts.end())
+  // Without recent direct contact the incarnation is not known; the host
+  // lives.
+  if (it == node.membership.contacts.end() ||
+      now - it->second.heard > node.membership.limits.host_timeout) {
     return true;
+  }
   return it->second.incarnation == incarnation;
 }
 
--- a/src/decisions/entry_node.cc
+++ b/src/decisions/entry_node.cc
@@ -167,8 +167,15 @@
   node.stopping = true;
   node.stop_began = turn.now;
   node.membership.leaving = true;
-  // Peers hear of it at once rather than with the next heartbeat.
-  node.membership.next_beat = turn.now;
+  // Everyone hears of it at once rather than from zone to zone.
+  Heartbeat beat;
+  beat.incarnation = node.membership.incarnation;
+  beat.leaving = true;
+  beat.digest = node.replica.digest;
+  for (const auto& [id, host] : node.membership.listed) {
+    if (id != node.self.id)
+      Send(turn, id, beat);
+  }
   node.next_report = turn.now;
   node.next_tick = turn.now;
   Log(turn, "entry", "Stop was requested.");
--- a/src/decisions/entry_requests.cc
+++ b/src/decisions/entry_requests.cc
@@ -377,12 +377,13 @@
   }
   TryEnd end;
   end.outcome = ended.outcome;
+  end.priority = ex->route.priority;
   end.idempotent = ex->route.idempotent && ex->key.empty();
   end.replayable = ended.replayable;
   end.answer_begun = ended.answer_begun;
   end.tries = ex->tries;
   end.time_left = ex->deadline - turn.now;
-  if (IsRetryable(end) && TakeRetry(turn.node.retries)) {
+  if (MayRetry(turn.node.retries, end)) {
     AskSlot(turn, *ex);
     return;
   }
--- a/src/decisions/entry_slots.cc
+++ b/src/decisions/entry_slots.cc
@@ -123,6 +123,17 @@
 }
 
 void ConfigureGranters(Turn& turn) {
+  // A granter that stands before the first request comes does not make it
+  // wait for the reports of a take-over.
+  for (const auto& [service, it] : turn.node.topology.services) {
+    for (const Zone& zone : turn.node.topology.zones) {
+      if (zone.region == turn.node.self.region &&
+          GranterOf(turn.node, service, zone.id, turn.now) ==
+              turn.node.self.id) {
+        GranterFor(turn, service, zone.id);
+      }
+    }
+  }
   for (auto& [key, g] : turn.node.granters)
     Configure(turn, g);
 }
--- a/src/decisions/granter.cc
+++ b/src/decisions/granter.cc
@@ -28,10 +28,25 @@
   if (IsEjected(it->second, now))
     return 0;
   const double warm = WarmShare(it->second, g.limits.health, now);
-  const double slots = state.endpoint.slots * warm * g.slot_share;
+  const double recovered =
+      state.found_slots +
+      g.limits.slot_recovery * Seconds(now - state.found_at);
+  const double found = std::min<double>(state.endpoint.slots, recovered);
+  const double slots = found * warm * g.slot_share;
   return static_cast<size_t>(std::max(1.0, std::floor(slots)));
 }
 
+void OnShed(Granter& g, const EndpointId& endpoint, Time now) {
+  const auto it = g.endpoints.find(endpoint);
+  if (it == g.endpoints.end())
+    return;
+  Granter::EndpointState& state = it->second;
+  // What ran beside the request that was shed is what the endpoint gave.
+  const double given = static_cast<double>(state.running.size()) - 1.0;
+  state.found_slots = std::max(1.0, given);
+  state.found_at = now;
+}
+
 Time EarliestConnect(const Granter::EndpointState& state, const HostId& host) {
   return state.connected.count(host) ? Time() : state.next_connect;
 }
@@ -166,6 +181,20 @@
   return mean > 0 ? mean : Seconds(g.limits.first_use_guess);
 }
 
+// Time between two paced grants of class `p`.
+Duration PaceCost(const Granter& g, Priority p, Time now) {
+  const double slots = std::max(1.0, HealthySlots(g, now));
+  return FromSeconds(MeanUse(g, p) / slots / g.limits.pace_factor);
+}
+
+// Whether work of class `p` has to wait for its pace.
+bool IsPaced(const Granter& g, Priority p, Time now) {
+  if (p == Priority::kUrgent)
+    return false;
+  const Duration ahead = g.paced_until - now;
+  return Seconds(ahead) > Seconds(PaceCost(g, p, now)) * g.limits.pace_burst;
+}
+
 // Part of the zone's slots that class `p` gets while all classes wait.
 double ExpectedShare(const Granter& g, Priority p) {
   const double own = g.least_shares[IndexOf(p)];
@@ -264,6 +293,8 @@
                       Priority p,
                       Time now,
                       std::vector<Envelope>& out) {
+  if (IsPaced(g, p, now))
+    return ServeResult::kBlocked;
   CallerQueue& queue = g.queues[IndexOf(p)];
   std::vector<QueuedRequest> passed_over;
   ServeResult result = ServeResult::kBlocked;
@@ -277,6 +308,8 @@
         g, next->ref.host, next->request.fingerprint, suspect, now);
     if (choice.endpoint) {
       next->request.budget_ms = Millis(next->deadline - now);
+      if (p != Priority::kUrgent)
+        g.paced_until = std::max(g.paced_until, now) + PaceCost(g, p, now);
       RecordGrant(g, next->ref, next->request, *choice.endpoint, suspect, now);
       out.push_back(GrantMessage(g, next->ref, choice.endpoint->endpoint));
       result = ServeResult::kServed;
@@ -371,6 +404,8 @@
       state->second.connected.clear();
       g.health.erase(it.id);
     }
+    if (added || moved)
+      state->second.found_slots = it.slots;
     state->second.endpoint = it;
     const auto [health, fresh] = g.health.try_emplace(it.id);
     // An endpoint that appears among others is cold; those of the first list
@@ -460,6 +495,8 @@
                                        FingerprintsOn(g, grant.endpoint), now);
       notices.insert(notices.end(), died.begin(), died.end());
     }
+    if (release.outcome == SlotOutcome::kShed)
+      OnShed(g, grant.endpoint, now);
     if (release.outcome == SlotOutcome::kAnswered && grant.suspect)
       Acquit(poison, grant.request.fingerprint);
     Observe(g.health, g.limits.health, grant.endpoint, release.outcome,
--- a/src/decisions/granter.h
+++ b/src/decisions/granter.h
@@ -31,6 +31,14 @@
   Duration connect_pace = std::chrono::milliseconds(1);
   // Grants older than this are checked against their entries.
   Duration audit_after = std::chrono::seconds(2);
+  // Slots that an endpoint which shed is trusted with again, per second.
+  double slot_recovery = 0.5;
+  // Work that is not urgent is granted at most at this multiple of the rate
+  // that the slots can serve, beyond a burst of so many grants. Slots that
+  // were freed together are so freed one by one the next time, and urgent
+  // work finds one soon.
+  double pace_factor = 1.15;
+  double pace_burst = 2.0;
   // A request is refused when its expected wait exceeds this part of its time
   // left.
   double wait_share_of_budget = 0.8;
@@ -62,6 +70,10 @@
     std::set<HostId> connected;  // Entry hosts with a pooled connection.
     Time next_connect;
     bool runs_suspect = false;
+    // Slots that the endpoint has been found to give this granter: falls when
+    // it sheds, since others use its slots too, and recovers with time.
+    double found_slots = 0;
+    Time found_at;
   };
   std::map<EndpointId, EndpointState> endpoints;
   HealthMap health;
@@ -83,6 +95,7 @@
   PerPriority<size_t> held{};
   PerPriority<double> mean_use_seconds{};
   ShareAccounts shares;
+  Time paced_until;  // Theoretical time of the next paced grant.
   Time active_since;
   Time next_audit;
   size_t foreign_held = 0;  // Slots in use for other regions.
--- a/src/decisions/ledger.cc
+++ b/src/decisions/ledger.cc
@@ -99,6 +99,7 @@
   ledger.answer_bytes -= slot.record.answer.body.size();
   ledger.answer_bytes += record.answer.body.size();
   slot.record = record;
+  slot.view = shard.view;
   slot.changed = now;
   if (added)
     shard.expiries.push_back({now + ledger.limits.retention, record.key});
@@ -557,8 +558,11 @@
       Forget(ledger, shard, it.key);
       continue;
     }
+    // Within a view the higher revision is the newer one. A record of an
+    // older view yields to the primary's whatever its revision: it may never
+    // have been acknowledged.
     const auto held = shard.slots.find(it.key);
-    if (held != shard.slots.end() &&
+    if (held != shard.slots.end() && held->second.view == shard.view &&
         held->second.record.revision >= it.revision) {
       continue;
     }
--- a/src/decisions/ledger.h
+++ b/src/decisions/ledger.h
@@ -58,6 +58,8 @@
   struct Slot {
     KeyRecord record;
     Time changed;
+    // View under which the record was made or received.
+    ViewNumber view;
     // Revision that the present backup has acknowledged.
     uint64_t acknowledged = 0;
     Time replicated_at;
--- a/src/decisions/retry.cc
+++ b/src/decisions/retry.cc
@@ -28,13 +28,20 @@
 }
 
 bool IsRetryable(const TryEnd& end) {
-  if (end.answer_begun || !end.replayable || end.tries >= kMaxTries)
-    return false;
-  if (end.time_left < kLeastTimeLeft)
+  if (end.answer_begun || !end.replayable || end.time_left < kLeastTimeLeft)
     return false;
   if (ProvesNotRun(end.outcome))
+    return end.tries < kMaxUnrunTries;
+  return end.idempotent && end.outcome == SlotOutcome::kBroken &&
+         end.tries < kMaxTries;
+}
+
+bool MayRetry(RetryBudget& budget, const TryEnd& end) {
+  if (!IsRetryable(end))
+    return false;
+  if (end.priority == Priority::kUrgent && ProvesNotRun(end.outcome))
     return true;
-  return end.idempotent && end.outcome == SlotOutcome::kBroken;
+  return TakeRetry(budget);
 }
 
 }  // namespace sassafras
--- a/src/decisions/retry.h
+++ b/src/decisions/retry.h
@@ -2,6 +2,7 @@
 #ifndef DECISIONS_RETRY_H_
 #define DECISIONS_RETRY_H_
 
+#include "base/priority.h"
 #include "base/time.h"
 #include "decisions/messages.h"
 
@@ -22,6 +23,7 @@
 // How one try ended, as far as a repetition is concerned.
 struct TryEnd {
   SlotOutcome outcome = SlotOutcome::kBroken;
+  Priority priority = Priority::kLow;
   bool idempotent = false;
   // The request's body can be sent once more.
   bool replayable = false;
@@ -32,6 +34,8 @@
 };
 
 constexpr int kMaxTries = 3;
+// Tries that proved not to have run cost an endpoint next to nothing.
+constexpr int kMaxUnrunTries = 12;
 
 // Whether the end proves that the endpoint did not run the request.
 bool ProvesNotRun(SlotOutcome outcome);
@@ -39,6 +43,10 @@
 // Whether another try is safe and useful, apart from the budget.
 bool IsRetryable(const TryEnd& end);
 
+// Whether the try may be repeated now. Takes from the budget, except for
+// urgent work that proved not to have run.
+bool MayRetry(RetryBudget& budget, const TryEnd& end);
+
 }  // namespace sassafras
 
 #endif  // DECISIONS_RETRY_H_
--- a/src/decisions/shard_views.cc
+++ b/src/decisions/shard_views.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr int kMaxMovesAtOnce = 8;
+
 bool IsLive(const ViewChangeInput& input, const HostId& host) {
   return std::any_of(input.live.begin(), input.live.end(),
                      [&](const Host& it) { return it.id == host; });
@@ -118,6 +120,61 @@
   return next;
 }
 
+// Where the shard belongs if every live host takes its part.
+ShardView IdealView(const ViewChangeInput& input,
+                    const RegionId& region,
+                    int shard) {
+  ShardView ideal;
+  ideal.primary = PickHolder(input, region, shard, HostId());
+  ideal.backup = PickHolder(input, region, shard, ideal.primary);
+  return ideal;
+}
+
+// One step of a settled shard towards its ideal holders: the backup is
+// replaced first, and becomes primary once it holds everything.
+ShardView StepToIdeal(const ShardView& view,
+                      const ViewChangeInput& input,
+                      const RegionId& region,
+                      int shard) {
+  const ShardView ideal = IdealView(input, region, shard);
+  if (ideal.backup.empty() || !view.backup_synced)
+    return view;
+  if (view.primary == ideal.primary) {
+    return view.backup == ideal.backup
+               ? view
+               : WithHolders(view, view.primary, ideal.backup);
+  }
+  if (view.backup == ideal.primary) {
+    const bool swap = view.primary == ideal.backup;
+    ShardView next = WithHolders(view, view.backup, ideal.backup);
+    // The old primary holds every record.
+    next.backup_synced = swap;
+    return next;
+  }
+  return WithHolders(view, view.primary, ideal.primary);
+}
+
+// Moves a few shards at a time, and none while any shard lacks a holder: a
+// shard that moves has one full copy of its records for a moment.
+bool MoveTowardsIdeal(RegionViews& views, const ViewChangeInput& input) {
+  const bool settled =
+      std::all_of(views.shards.begin(), views.shards.end(),
+                  [](const ShardView& it) { return it.backup_synced; });
+  if (!settled)
+    return false;
+  int moved = 0;
+  for (int shard = 0; shard < kShardsPerRegion; ++shard) {
+    ShardView& view = views.shards[static_cast<size_t>(shard)];
+    const ShardView next = StepToIdeal(view, input, views.region, shard);
+    if (next.number == view.number)
+      continue;
+    view = next;
+    if (++moved == kMaxMovesAtOnce)
+      break;
+  }
+  return moved > 0;
+}
+
 bool SameView(const ShardView& a, const ShardView& b) {
   return a.number == b.number && a.backup_synced == b.backup_synced;
 }
@@ -195,6 +252,8 @@
     changed = changed || !SameView(view, wanted);
     view = wanted;
   }
+  if (!changed)
+    changed = MoveTowardsIdeal(next, input);
   if (!changed)
     return std::nullopt;
   next.version = views.version.Next();
