--- a/src/decisions/endpoint_health.cc
+++ b/src/decisions/endpoint_health.cc
@@ -89,6 +89,10 @@
   return now < health.ejected_until;
 }
 
+bool IsDown(const EndpointHealth& health, Time now) {
+  return now < health.down_until;
+}
+
 void Observe(HealthMap& all,
              const HealthLimits& limits,
              const EndpointId& endpoint,
@@ -99,6 +103,12 @@
   if (it == all.end() || !IsJudged(outcome))
     return;
   EndpointHealth& health = it->second;
+  const bool refused = outcome == SlotOutcome::kConnectFailed;
+  health.refused_in_a_row = refused ? health.refused_in_a_row + 1 : 0;
+  if (health.refused_in_a_row >= limits.refused_in_a_row) {
+    health.down_until = now + limits.down_pause;
+    health.warm_since = health.down_until;
+  }
   const bool failed = IsFailure(outcome);
   health.failures_in_a_row = failed ? health.failures_in_a_row + 1 : 0;
   const double weight = health.samples == 0 ? 1.0 : kMeanWeight;
--- a/src/decisions/endpoint_health.h
+++ b/src/decisions/endpoint_health.h
@@ -17,6 +17,11 @@
   double max_ejected_share = 0.34;
   // Failures in a row that eject an endpoint.
   int failures_in_a_row = 3;
+  // Refused connections in a row after which an endpoint is left alone for
+  // the time below. It counts as down and not as ejected: no share of the
+  // others can serve in its place by leaving it in.
+  int refused_in_a_row = 2;
+  Duration down_pause = std::chrono::milliseconds(500);
   // Mean failure rate that ejects an endpoint, if others fare better.
   double failure_rate = 0.4;
   int least_samples = 8;
@@ -30,6 +35,8 @@
 
 struct EndpointHealth {
   int failures_in_a_row = 0;
+  int refused_in_a_row = 0;
+  Time down_until;
   double failure_rate = 0;  // Moving mean, 0 to 1.
   double mean_seconds = 0;  // Moving mean of whole answers.
   int samples = 0;
@@ -42,6 +49,9 @@
 
 bool IsEjected(const EndpointHealth& health, Time now);
 
+// Whether the endpoint refuses connections.
+bool IsDown(const EndpointHealth& health, Time now);
+
 // Takes the end of one use into account. May eject the endpoint.
 void Observe(HealthMap& all,
              const HealthLimits& limits,
--- a/src/decisions/entry_node.cc
+++ b/src/decisions/entry_node.cc
@@ -218,12 +218,12 @@
 // Asks for the next timer if its time has changed.
 void ArmTimer(Turn& turn, bool fired) {
   EntryNode& node = turn.node;
-  const bool waiting =
-      std::any_of(node.granters.begin(), node.granters.end(),
-                  [](const auto& it) { return HasWaiting(it.second); });
   Time due = node.next_tick;
-  if (waiting)
-    due = std::min(due, turn.now + node.limits.slot_tick);
+  const Time latest = turn.now + node.limits.slot_tick;
+  for (const auto& [key, g] : node.granters) {
+    if (HasWaiting(g))
+      due = std::min(due, NextPacedGrant(g, latest, turn.now));
+  }
   if (!fired && node.timer <= due && node.timer > turn.now)
     return;
   node.timer = due;
--- a/src/decisions/flow.cc
+++ b/src/decisions/flow.cc
@@ -8,6 +8,9 @@
 
 constexpr double kEpsilon = 1e-9;
 constexpr double kSecondsPerMinute = 60.0;
+// Excess below this part of the service's work stays in its zone: demand is
+// not known more exactly, and other regions are far.
+constexpr double kTolerance = 0.02;
 
 const ZoneWatch::State* StateOf(const ZoneWatch& watch, const ZoneId& zone) {
   const auto it = watch.zones.find(zone);
@@ -94,9 +97,9 @@
   for (const auto& [zone, zone_plan] : plan.zones) {
     const auto it = shares.zones.find(zone);
     const double share = it == shares.zones.end() ? 0 : it->second / total;
-    const double kept = std::min(share, zone_plan.demand);
+    const double kept = std::min(share + kTolerance, zone_plan.demand);
     out.excess[zone] = zone_plan.demand - kept;
-    out.room[zone] = share - kept;
+    out.room[zone] = std::max(0.0, share - kept);
   }
   return out;
 }
@@ -234,9 +237,10 @@
   Spread(
       neighbours, regional, [](const Surplus&) { return true; }, parts);
   std::vector<Surplus> others = SurplusAfterRegions(balance, topology, *region);
-  Spread(
+  const double left = Spread(
       others, excess - regional,
       [](const Surplus& it) { return !it.same_region; }, parts);
+  parts[from] += left;
   return RowOf(parts);
 }
 
--- a/src/decisions/granter.cc
+++ b/src/decisions/granter.cc
@@ -10,6 +10,7 @@
 
 constexpr double kMeanWeight = 0.05;
 constexpr Duration kGrantMargin = std::chrono::seconds(2);
+constexpr Duration kLeastWait = std::chrono::microseconds(200);
 constexpr int64_t kMostRetryAfterMs = 30000;
 
 PerPriority<size_t> Waiting(const Granter& g) {
@@ -25,7 +26,7 @@
   const auto it = g.health.find(state.endpoint.id);
   if (state.endpoint.leaving || it == g.health.end())
     return 0;
-  if (IsEjected(it->second, now))
+  if (IsEjected(it->second, now) || IsDown(it->second, now))
     return 0;
   const double warm = WarmShare(it->second, g.limits.health, now);
   const double recovered =
@@ -106,9 +107,26 @@
   return request.origin != g.region;
 }
 
-bool IsRegionFull(const Granter& g, Time now) {
-  const double limit = HealthySlots(g, now) * (1.0 - g.headroom);
-  return static_cast<double>(g.grants.size() + 1) > limit;
+void AverageUse(Granter& g, Time now) {
+  const double elapsed =
+      g.mean_held_at == Time() ? 0 : Seconds(now - g.mean_held_at);
+  g.mean_held_at = now;
+  const double weight =
+      1.0 - std::exp(-elapsed / Seconds(g.limits.use_average));
+  for (size_t n = 0; n < kPriorityCount; ++n) {
+    const auto held = static_cast<double>(g.held[n]);
+    g.mean_held[n] += weight * (held - g.mean_held[n]);
+  }
+}
+
+// Whether work of class `p` from other regions has to leave the rest of the
+// zone to its own region. Only work of the same or a more urgent class counts.
+bool IsRegionFull(Granter& g, Priority p, Time now) {
+  AverageUse(g, now);
+  double held = 0;
+  for (size_t n = 0; n <= IndexOf(p); ++n)
+    held += g.mean_held[n];
+  return held > HealthySlots(g, now) * (1.0 - g.headroom);
 }
 
 void RecordGrant(Granter& g,
@@ -132,8 +150,6 @@
     state.next_connect =
         std::max(state.next_connect, now) + g.limits.connect_pace;
   ++g.held[IndexOf(request.priority)];
-  if (IsForeign(g, request))
-    ++g.foreign_held;
 }
 
 void DropGrant(Granter& g, const ExchangeRef& ref) {
@@ -156,8 +172,6 @@
       g.copies.erase(copies);
   }
   --g.held[IndexOf(grant.request.priority)];
-  if (IsForeign(g, grant.request))
-    --g.foreign_held;
   g.grants.erase(it);
 }
 
@@ -456,7 +470,7 @@
         RefuseMessage(ref, Refusal::kNoEndpoint, std::chrono::seconds(1)));
     return out;
   }
-  if (IsForeign(g, request) && IsRegionFull(g, now)) {
+  if (IsForeign(g, request) && IsRegionFull(g, request.priority, now)) {
     out.push_back(
         RefuseMessage(ref, Refusal::kRegionFull, std::chrono::seconds(1)));
     return out;
@@ -485,6 +499,7 @@
                                     Time now,
                                     std::vector<PoisonNotice>& notices) {
   std::vector<Envelope> out;
+  AverageUse(g, now);
   const ExchangeRef ref{from, release.exchange};
   g.queued.erase(ref);
   const auto it = g.grants.find(ref);
@@ -529,6 +544,7 @@
 
 std::vector<Envelope> OnGranterTick(Granter& g, PoisonList& poison, Time now) {
   std::vector<Envelope> out;
+  AverageUse(g, now);
   Audit(g, now, out);
   ServeAll(g, poison, now, out);
   return out;
@@ -538,6 +554,18 @@
   return !g.queued.empty();
 }
 
+Time NextPacedGrant(const Granter& g, Time latest, Time now) {
+  Time next = latest;
+  for (const Priority p : {Priority::kNormal, Priority::kLow}) {
+    if (g.queues[IndexOf(p)].size == 0 || !IsPaced(g, p, now))
+      continue;
+    const Duration burst =
+        FromSeconds(Seconds(PaceCost(g, p, now)) * g.limits.pace_burst);
+    next = std::min(next, g.paced_until - burst);
+  }
+  return std::max(next, now + kLeastWait);
+}
+
 double HealthySlots(const Granter& g, Time now) {
   double slots = 0;
   for (const auto& [id, state] : g.endpoints)
--- a/src/decisions/granter.h
+++ b/src/decisions/granter.h
@@ -39,6 +39,8 @@
   // work finds one soon.
   double pace_factor = 1.15;
   double pace_burst = 2.0;
+  // Time over which the use of slots is averaged for work of other regions.
+  Duration use_average = std::chrono::seconds(1);
   // A request is refused when its expected wait exceeds this part of its time
   // left.
   double wait_share_of_budget = 0.8;
@@ -98,7 +100,9 @@
   Time paced_until;  // Theoretical time of the next paced grant.
   Time active_since;
   Time next_audit;
-  size_t foreign_held = 0;  // Slots in use for other regions.
+  // Moving means of the slots in use per class, for work of other regions.
+  PerPriority<double> mean_held{};
+  Time mean_held_at;
 };
 
 // Replaces the list of endpoints: those that leave get no new work.
@@ -127,6 +131,9 @@
 
 bool HasWaiting(const Granter& g);
 
+// When a paced request can be granted, if that is before `latest`.
+Time NextPacedGrant(const Granter& g, Time latest, Time now);
+
 // Slots of endpoints that are fit for new work.
 double HealthySlots(const Granter& g, Time now);
 
--- a/src/decisions/planner.cc
+++ b/src/decisions/planner.cc
@@ -9,6 +9,8 @@
 
 constexpr double kEpsilon = 1e-9;
 constexpr double kSecondsPerMinute = 60.0;
+// Part of the usable slots that is taken to be in use at least.
+constexpr double kLeastLoad = 0.5;
 
 using Shares = std::map<ZoneId, double>;
 
@@ -61,7 +63,9 @@
     out[zone] = slots * (1.0 - HeadroomOfZone(in, zone));
     usable += out[zone];
   }
-  const double offered = measured ? OfferedSlots(in) : usable;
+  // A load that has just begun to be seen must not make budgets look endless.
+  const double offered =
+      measured ? std::max(OfferedSlots(in), kLeastLoad * usable) : usable;
   for (auto& [zone, part] : out)
     part = offered > kEpsilon ? part / offered : (part > 0 ? 1.0 : 0.0);
   return out;
@@ -194,6 +198,11 @@
   return out;
 }
 
+// Whether the offered work is enough to tell where it arrives.
+bool IsDemandKnown(const PlannerInput& in, const PlannerLimits& limits) {
+  return OfferedSlots(in) > limits.least_offered * Sum(in.listed_slots);
+}
+
 Shares KeptDemand(const PlannerInput& in, const Shares& shares) {
   Shares out;
   for (const auto& [zone, share] : shares) {
@@ -221,7 +230,7 @@
 
 bool MixChanged(const PlannerInput& in, const PlannerLimits& limits) {
   for (size_t n = 0; n < kPriorityCount; ++n) {
-    if (std::abs(in.mix[n] - in.last->mix[n]) > limits.demand_deadband)
+    if (std::abs(in.mix[n] - in.last->mix[n]) > limits.budget_deadband)
       return true;
   }
   return false;
@@ -287,7 +296,8 @@
   const auto intent = in.intent->services.find(in.service);
   if (intent == in.intent->services.end())
     return std::nullopt;
-  const bool measured = IsMeasured(in, limits);
+  const bool fresh = IsMeasured(in, limits);
+  const bool measured = fresh && IsDemandKnown(in, limits);
   if (!in.last) {
     const Shares& shares = intent->second.shares;
     const Shares demand =
@@ -300,29 +310,35 @@
   const bool failover = Moved(before, failed_over) > kEpsilon;
   if (elapsed < limits.least_interval && !failover)
     return std::nullopt;
-  const bool hold = !measured && in.measurement_age &&
+  const bool hold = !fresh && in.measurement_age &&
                     *in.measurement_age < limits.hold &&
                     in.last->intent_version == in.intent->version;
+  const double allowed =
+      AllowedMove(intent->second.shift_cap_per_minute, elapsed, limits);
   Shares next = failed_over;
   if (!hold) {
     const Shares wanted = WantedShares(in, limits, before, measured);
-    const double allowed =
-        AllowedMove(intent->second.shift_cap_per_minute, elapsed, limits);
     if (Moved(failed_over, wanted) >= limits.least_move ||
         Moved(wanted, failed_over) >= limits.least_move) {
       next = Step(failed_over, wanted, allowed);
     }
   }
-  const Shares demand = measured ? DemandParts(in, next) : KeptDemand(in, next);
-  const bool demand_changed = measured && DemandChanged(in, limits, demand);
-  const ServicePlan plan = Assemble(
-      in, next, demand_changed ? demand : KeptDemand(in, next), measured);
+  // Where work is thought to arrive decides where it is sent, so that a new
+  // belief is a move like any other and shares the cap.
+  Shares demand = KeptDemand(in, next);
+  const Shares seen = measured ? DemandParts(in, next) : demand;
+  const bool demand_changed = measured && DemandChanged(in, limits, seen);
+  if (demand_changed) {
+    const double spent = Moved(failed_over, next);
+    demand = Step(demand, seen, std::max(0.0, allowed - spent));
+  }
+  const ServicePlan plan = Assemble(in, next, demand, measured);
   const bool moved =
       Moved(before, next) > kEpsilon || Moved(next, before) > kEpsilon;
   const bool worth_it = moved || demand_changed ||
                         (measured && MixChanged(in, limits)) ||
                         in.last->intent_version != in.intent->version ||
-                        BudgetChanged(plan, *in.last, limits.demand_deadband);
+                        BudgetChanged(plan, *in.last, limits.budget_deadband);
   if (!worth_it)
     return std::nullopt;
   return plan;
--- a/tests/decisions/at_most_once_test.cc
+++ b/tests/decisions/at_most_once_test.cc
@@ -88,8 +88,7 @@
   const HostId e = Others()[0];
   std::vector<Envelope> kept;
   world_.drop = [&](const HostId&, const Envelope& it) {
-    const bool is_go =
-        it.to == e && std::holds_alternative<KeyGo>(it.message);
+    const bool is_go = it.to == e && std::holds_alternative<KeyGo>(it.message);
     if (is_go)
       kept.push_back(it);
     return is_go;
--- a/tests/decisions/fake_world.cc
+++ b/tests/decisions/fake_world.cc
@@ -81,10 +81,16 @@
         host.zone = ZoneId(zone);
         hosts_.push_back(host);
       }
-      for (int n = 1; n <= config_.endpoints_per_zone; ++n) {
+      const int zones =
+          static_cast<int>(config_.regions.size()) * config_.zones_per_region;
+      const int zone_number = static_cast<int>(topology_.zones.size()) - 1;
+      const int endpoints =
+          config_.endpoints_total > 0
+              ? (config_.endpoints_total + zone_number) / zones
+              : config_.endpoints_per_zone;
+      for (int n = 1; n <= endpoints; ++n) {
         FakeEndpoint endpoint;
-        endpoint.listed.id =
-            EndpointId("e-" + zone + "-" + std::to_string(n));
+        endpoint.listed.id = EndpointId("e-" + zone + "-" + std::to_string(n));
         endpoint.listed.zone = ZoneId(zone);
         endpoint.listed.slots = config_.slots;
         endpoint.work = config_.work;
@@ -163,8 +169,7 @@
   intent_seen_.erase(host.id);
   // Processes do not start at the same instant.
   const Duration entry_offset = std::chrono::microseconds(random_() % 900000);
-  const Duration control_offset =
-      std::chrono::microseconds(random_() % 900000);
+  const Duration control_offset = std::chrono::microseconds(random_() % 900000);
   const int start = starts_[host.id];
   At(now_ + entry_offset, [this, id = host.id, start] {
     if (starts_[id] == start && dead_.count(id) == 0)
@@ -394,7 +399,9 @@
         At(now_ + store_.delay, [=] {
           if (starts_[host] != start)
             return;
-          ForHost(host, [=] { FeedControl(host, StoreAnswer{call.id, reply}); });
+          ForHost(host, [=] {
+            FeedControl(host, StoreAnswer{call.id, reply});
+          });
         });
       });
     } else if (const auto* it = std::get_if<SetTimer>(&action)) {
@@ -434,8 +441,9 @@
     At(now_ + store_.delay, [this, host, document, object] {
       if (followers_.count(host) == 0 || store_.down)
         return;
-      ForHost(host,
-              [=] { FeedEntry(host, StoreObjects{*document, {object}, false}); });
+      ForHost(host, [=] {
+        FeedEntry(host, StoreObjects{*document, {object}, false});
+      });
     });
   }
 }
@@ -501,8 +509,8 @@
     end_after(std::chrono::milliseconds(1), SlotOutcome::kBroken);
     return;
   }
-  Duration work = record->spec.work == Duration::zero() ? endpoint.work
-                                                        : record->spec.work;
+  Duration work =
+      record->spec.work == Duration::zero() ? endpoint.work : record->spec.work;
   if (config_.work_spread > 0) {
     const double draw = 2 * UnitInterval(random_()) - 1;
     work = FromSeconds(Seconds(work) * (1 + config_.work_spread * draw));
@@ -516,8 +524,8 @@
     end_after(dispatch.timeout, SlotOutcome::kTimedOut);
     return;
   }
-  const std::string answer = "run of " + record->spec.key + "/" +
-                             std::to_string(record->spec.body);
+  const std::string answer =
+      "run of " + record->spec.key + "/" + std::to_string(record->spec.body);
   At(now_ + work, [=] { EndRun(host, id, exchange, outcome, answer); });
 }
 
@@ -583,8 +591,8 @@
   call.body = Fingerprint(spec.body);
   const uint64_t target = spec.target ? spec.target : ++next_target_ << 20;
   const uint64_t who = HashText(spec.caller);
-  const uint64_t what = spec.key.empty() ? HashPair(target, spec.body)
-                                         : HashPair(1, spec.body);
+  const uint64_t what =
+      spec.key.empty() ? HashPair(target, spec.body) : HashPair(1, spec.body);
   call.fingerprint = Fingerprint(HashPair(who, what));
   call.timeout = spec.timeout;
   calls_[n].exchange = call.exchange;
@@ -633,8 +641,8 @@
     }
   }
   if (record.state == CallRecord::State::kAnswered) {
-    const std::string own = "run of " + record.spec.key + "/" +
-                            std::to_string(record.spec.body);
+    const std::string own =
+        "run of " + record.spec.key + "/" + std::to_string(record.spec.body);
     if (record.answer != own)
       broken.push_back("answer of another request: " + record.answer);
   }
--- a/tests/decisions/fake_world.h
+++ b/tests/decisions/fake_world.h
@@ -39,7 +39,7 @@
   Endpoint listed;
   Duration work = std::chrono::milliseconds(20);
   bool dead = false;
-  bool fails = false;  // Answers 500 after 1 ms.
+  bool fails = false;   // Answers 500 after 1 ms.
   bool breaks = false;  // Closes before any byte of an answer.
   std::set<ExchangeId> running;
   int runs = 0;
@@ -52,6 +52,7 @@
   int hosts_per_zone = 3;
   std::string service = "rounds";
   int endpoints_per_zone = 3;
+  int endpoints_total = 0;  // Instead of the above, spread over the zones.
   int slots = 3;
   Duration work = std::chrono::milliseconds(20);
   // Work varies evenly by this part of it, up and down.
--- a/tests/decisions/steering_test.cc
+++ b/tests/decisions/steering_test.cc
@@ -75,8 +75,7 @@
 
 TEST_F(SteeringTest, CommittedIntentIsInForceEverywhereWithinSeconds) {
   const Version version = world_.LoadIntent(Lopsided("cuyo"));
-  EXPECT_TRUE(
-      world_.RunUntil(seconds(3), [&] { return AllHave(version); }));
+  EXPECT_TRUE(world_.RunUntil(seconds(3), [&] { return AllHave(version); }));
 }
 
 // History 14.
@@ -121,8 +120,8 @@
   world_.store().down = true;
   world_.Restart(host);
   EXPECT_FALSE(IsReady(world_.entry(host)));
-  EXPECT_TRUE(world_.RunUntil(
-      seconds(8), [&] { return IsReady(world_.entry(host)); }));
+  EXPECT_TRUE(
+      world_.RunUntil(seconds(8), [&] { return IsReady(world_.entry(host)); }));
   EXPECT_EQ(world_.entry(host).intent.version, Version(1));
 }
 
@@ -275,14 +274,28 @@
   EXPECT_LE(plans, 2);
 }
 
+// A belief about where work arrives changes where it is sent.
+TEST_F(PlanStepTest, DemandIsBelievedUnderTheCap) {
+  auto plan = Next(std::nullopt, seconds(5));
+  input_.measured[ZoneId("a")].offered_slots = 63;
+  input_.measured[ZoneId("b")].offered_slots = 0;
+  input_.measured[ZoneId("c")].offered_slots = 0;
+  const auto next = Next(plan, seconds(5));
+  ASSERT_TRUE(next);
+  double moved = 0;
+  for (const auto& [zone, it] : next->zones)
+    moved += std::max(0.0, it.demand - plan->zones.at(zone).demand);
+  EXPECT_GT(moved, 0);
+  EXPECT_LE(moved + MovedShare(*plan, *next), kCapPerMinute * 5 / 60);
+}
+
 // History 20 in numbers: at 70 % in each region the other two take what fits.
 TEST_F(PlanStepTest, LostRegionIsReplacedWithinBudgetsUrgentFirst) {
   const auto plan = Next(std::nullopt, seconds(5));
   ASSERT_TRUE(plan);
   ZoneWatch watch;
   UpdateZoneWatch(watch, *plan, {}, true, input_.now);
-  UpdateZoneWatch(watch, *plan, {ZoneId("c")}, false,
-                  input_.now + seconds(10));
+  UpdateZoneWatch(watch, *plan, {ZoneId("c")}, false, input_.now + seconds(10));
   const EffectiveShares shares = ComputeShares(*plan, watch);
   // Offered are 63 slots; no zone may take more than its 30.
   for (const char* it : {"a", "b"})
@@ -425,9 +438,8 @@
   for (const Host& other : world_.hosts()) {
     if (other.id == host)
       continue;
-    for (const Host& it : world_.entry(other.id)
-                              .lookup.regions[RegionId("cuyo")]
-                              .hosts) {
+    for (const Host& it :
+         world_.entry(other.id).lookup.regions[RegionId("cuyo")].hosts) {
       EXPECT_NE(it.id, host) << "named by " << other.id;
     }
   }
@@ -452,9 +464,8 @@
   world_.Run(seconds(2));
   ASSERT_EQ(world_.call(first).state, CallRecord::State::kAnswered);
   world_.Stop(host);
-  ASSERT_TRUE(world_.RunUntil(seconds(60), [&] {
-    return world_.exited.count(host) > 0;
-  }));
+  ASSERT_TRUE(world_.RunUntil(seconds(60),
+                              [&] { return world_.exited.count(host) > 0; }));
   EXPECT_EQ(world_.View("cuyo", 7).generation, Generation(1));
   HostId other;
   for (const HostId& it : world_.HostsOfRegion("cuyo")) {
@@ -517,9 +528,8 @@
     EXPECT_EQ(StateOf(world_.entry(other.id).membership, host, world_.now()),
               HostState::kDead)
         << other.id;
-    for (const Host& it : world_.entry(other.id)
-                              .lookup.regions[RegionId("cuyo")]
-                              .hosts) {
+    for (const Host& it :
+         world_.entry(other.id).lookup.regions[RegionId("cuyo")].hosts) {
       EXPECT_NE(it.id, host) << "named by " << other.id;
     }
   }
