--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -8,6 +8,7 @@
 
 #include "app/processes.h"
 #include "base/log.h"
+#include "load/load.h"
 #include "operators/operators.h"
 
 namespace {
@@ -29,6 +30,8 @@
     "  sassafrasdeck lookup --entry 127.0.1.1:7000 --service rounds --client "
     "10.1.2.3\n"
     "  sassafrasdeck state 127.0.1.1:7200 --part members\n"
+    "  sassafrasdeck load --entry 127.0.1.1:7000 --service rounds --path "
+    "/stock/1 --rate 100 --seconds 10\n"
     "Exit codes are listed in docs/OPERATING.md.";
 
 // Reads a process's settings; nothing after their faults were printed.
@@ -59,6 +62,14 @@
   command.add_flag("--json", options.json, "Print the report as JSON");
 }
 
+struct LoadOptions {
+  std::vector<std::string> entries;
+  sassafras::LoadKind kind;
+  sassafras::LoadPlan plan;
+  int64_t seconds = 10;
+  int64_t timeout_ms = 5000;
+};
+
 struct CommandLine {
   std::string settings_file;
   std::string entry;
@@ -67,6 +78,7 @@
   std::string address;
   std::string part;
   SheetOptions sheet;
+  LoadOptions load;
   int64_t wait_seconds = 30;
   std::function<int()> run;
 };
@@ -120,6 +132,49 @@
   });
 }
 
+int RunLoadCommand(LoadOptions& options) {
+  for (const std::string& it : options.entries) {
+    const auto address = sassafras::Address::Parse(it);
+    if (!address) {
+      std::cerr << "--entry: '" << it << "' is not an address\n";
+      return sassafras::kExitUsage;
+    }
+    options.plan.entries.push_back(*address);
+  }
+  options.kind.name = options.kind.service;
+  options.kind.timeout = std::chrono::milliseconds(options.timeout_ms);
+  options.plan.kinds = {options.kind};
+  options.plan.duration = std::chrono::seconds(options.seconds);
+  sassafras::Loop loop;
+  const auto rows = sassafras::RunLoad(loop, options.plan, [](const auto&) {});
+  std::cout << sassafras::LoadTable(rows);
+  return sassafras::kExitOk;
+}
+
+void AddLoad(CLI::App& app, LoadOptions& options, CommandLine& line) {
+  CLI::App* load = app.add_subcommand("load", "Send a bounded load of calls");
+  load->add_option("--entry", options.entries,
+                   "Caller addresses of entry hosts")
+      ->required();
+  load->add_option("--service", options.kind.service, "Service")->required();
+  load->add_option("--path", options.kind.path, "Path below the service")
+      ->required();
+  load->add_option("--method", options.kind.method, "HTTP method");
+  load->add_option("--body-bytes", options.kind.body_bytes, "Size of bodies")
+      ->check(CLI::Range(0, 1 << 30));
+  load->add_flag("--keys", options.kind.with_key, "Send idempotency keys");
+  load->add_option("--rate", options.kind.requests_per_second, "Calls a second")
+      ->check(CLI::Range(0.1, 100000.0));
+  load->add_option("--seconds", options.seconds, "Length of the load")
+      ->check(CLI::Range(1, 3600));
+  load->add_option("--timeout-ms", options.timeout_ms, "Callers' timeout")
+      ->check(CLI::Range(1, 600000));
+  load->add_option("--seed", options.plan.seed, "Seed of the callers");
+  load->callback([&line, &options] {
+    line.run = [&options] { return RunLoadCommand(options); };
+  });
+}
+
 void AddSheetCommands(CLI::App& app, CommandLine& line) {
   CLI::App* sheet = app.add_subcommand("sheet", "Work on the morning sheet");
   sheet->require_subcommand(1);
@@ -166,6 +221,7 @@
   AddProcesses(app, line);
   AddQueries(app, line);
   AddSheetCommands(app, line);
+  AddLoad(app, line.load, line);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -29,16 +29,21 @@
   std::vector<Address> entries;  // Any entry hosts, asked for look-ups.
   std::vector<LoadKind> kinds;
   std::chrono::seconds duration{10};
-  // Simulated callers; each has an address of its own.
+  // Simulated callers; each has an address of its own, in turn in one of the
+  // /16 networks that follow the first.
   size_t callers = 100;
   std::string first_client_ip = "10.1.0.1";
+  size_t networks = 3;
   uint64_t seed = 1;
+  // Requests that may be open at once; more are held back and counted.
+  uint64_t max_open = 3000;
 };
 
 struct LoadRow {
   std::string name;
   uint64_t sent = 0;
-  uint64_t answered = 0;  // Status below 400.
+  uint64_t held_back = 0;  // Not sent, since too many were open.
+  uint64_t answered = 0;   // Status below 400.
   uint64_t refused_not_run = 0;
   uint64_t refused_unknown = 0;
   uint64_t broken = 0;              // No whole answer.
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -61,7 +61,7 @@
     inet_pton(AF_INET, plan.first_client_ip.c_str(), &first);
     first_ip_ = ntohl(first.s_addr);
     for (const LoadKind& it : plan.kinds)
-      rows_.push_back(LoadRow{it.name, 0, 0, 0, 0, 0, {}});
+      rows_.push_back(LoadRow{it.name, 0, 0, 0, 0, 0, 0, {}});
     largest_body_ = 0;
     for (const LoadKind& it : plan.kinds)
       largest_body_ = std::max(largest_body_, it.body_bytes);
@@ -95,16 +95,21 @@
       owed_[n] += elapsed * plan_.kinds[n].requests_per_second;
       while (owed_[n] >= 1.0) {
         owed_[n] -= 1.0;
-        Begin(n);
+        if (open_ < plan_.max_open)
+          Begin(n);
+        else
+          ++rows_[n].held_back;
       }
     }
   }
 
   std::string ClientIp(size_t caller) const {
     in_addr ip{};
-    // Callers spread over networks, so that they differ in their block.
-    constexpr uint32_t kStep = 259;
-    ip.s_addr = htonl(first_ip_ + static_cast<uint32_t>(caller) * kStep);
+    constexpr uint32_t kNetworkStep = 1 << 16;
+    constexpr uint32_t kBlockStep = 1 << 8;
+    const auto network = static_cast<uint32_t>(caller % plan_.networks);
+    const auto block = static_cast<uint32_t>(caller / plan_.networks);
+    ip.s_addr = htonl(first_ip_ + network * kNetworkStep + block * kBlockStep);
     char buf[INET_ADDRSTRLEN] = {};
     inet_ntop(AF_INET, &ip, buf, sizeof(buf));
     return buf;
@@ -278,16 +283,16 @@
 std::string LoadTable(const std::vector<LoadRow>& rows) {
   std::string out;
   char buf[160];
-  std::snprintf(buf, sizeof(buf), "%-10s %8s %9s %8s %8s %7s %9s %9s\n", "kind",
-                "sent", "answered", "refused", "unknown", "broken", "p50 ms",
-                "p99 ms");
+  std::snprintf(buf, sizeof(buf), "%-10s %8s %8s %9s %8s %8s %7s %9s %9s\n",
+                "kind", "sent", "held", "answered", "refused", "unknown",
+                "broken", "p50 ms", "p99 ms");
   out += buf;
   for (const LoadRow& it : rows) {
     constexpr double kMsPerSecond = 1e3;
     std::snprintf(buf, sizeof(buf),
-                  "%-10s %8lu %9lu %8lu %8lu %7lu %9.1f %9.1f\n",
-                  it.name.c_str(), it.sent, it.answered, it.refused_not_run,
-                  it.refused_unknown, it.broken,
+                  "%-10s %8lu %8lu %9lu %8lu %8lu %7lu %9.1f %9.1f\n",
+                  it.name.c_str(), it.sent, it.held_back, it.answered,
+                  it.refused_not_run, it.refused_unknown, it.broken,
                   Seconds(Percentile(it, 0.5)) * kMsPerSecond,
                   Seconds(Percentile(it, 0.99)) * kMsPerSecond);
     out += buf;
--- a/tests/bench/bounds.cc
+++ b/tests/bench/bounds.cc
@@ -33,8 +33,8 @@
     return;
   }
   constexpr char kMax[] = "_max";
-  const bool is_max = name.size() >= 4 &&
-                      name.compare(name.size() - 4, 4, kMax) == 0;
+  const bool is_max =
+      name.size() >= 4 && name.compare(name.size() - 4, 4, kMax) == 0;
   const bool holds = is_max ? measured <= *bound : measured >= *bound;
   std::printf("%s %s: measured %.4g, bound %.4g\n", holds ? "ok" : "BREACH",
               name.c_str(), measured, *bound);
--- a/tests/bench/flood_bench.cc
+++ b/tests/bench/flood_bench.cc
@@ -90,8 +90,7 @@
     ClassResult& r = out[IndexOf(p)];
     // Work counts where it ends, so that a queue which drains after the load
     // does not count.
-    r.work_share =
-        static_cast<double>(ended) / (capacity * Seconds(kMeasured));
+    r.work_share = static_cast<double>(ended) / (capacity * Seconds(kMeasured));
     if (latencies.empty())
       continue;
     const auto n = static_cast<double>(latencies.size());
@@ -204,8 +203,7 @@
                ends.end());
     if (ends.size() < static_cast<size_t>(user.slots)) {
       const double work =
-          kWorkSeconds *
-          (1 + kWorkSpread * (2 * UnitInterval(random()) - 1));
+          kWorkSeconds * (1 + kWorkSpread * (2 * UnitInterval(random()) - 1));
       ends.push_back(it.at + work);
       samples.push_back(
           {kAllPriorities[it.priority], true, it.begun, it.at + work});
