--- a/src/decisions/entry_node.h
+++ b/src/decisions/entry_node.h
@@ -185,7 +185,7 @@
   Duration ask_again_after = std::chrono::milliseconds(300);
   // A begun key is withdrawn this long before its caller's deadline.
   Duration withdraw_margin = std::chrono::milliseconds(150);
-  Duration report_period = std::chrono::seconds(1);
+  Duration report_period = std::chrono::seconds(2);
   Duration status_period = std::chrono::seconds(2);
   // A stopping host serves for at least this long: the look-up TTL, the time
   // that its heartbeats need, and a margin.
--- a/src/decisions/entry_spread.cc
+++ b/src/decisions/entry_spread.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration kSummaryPause = std::chrono::milliseconds(300);
-constexpr Duration kReportAge = std::chrono::seconds(5);
+constexpr Duration kReportAge = std::chrono::seconds(6);
 constexpr double kMeanWeight = 0.3;
 
 template <typename T, typename Fn>
@@ -155,8 +155,8 @@
   HostReport report = OwnReport(turn);
   const std::vector<HostId> relays =
       RelaysOfZone(node.membership, node.self.zone, turn.now);
-  for (const HostId& it : relays)
-    Send(turn, it, report);
+  if (!relays.empty())
+    Send(turn, relays.front(), std::move(report));
 }
 
 void WriteStatusIfDue(Turn& turn) {
--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -78,7 +78,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneBeat,
                                    zone,
                                    age_ms,
-                                   has_lists,
                                    up,
                                    leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat,
@@ -86,7 +85,8 @@
                                    leaving,
                                    digest,
                                    relay,
-                                   zones)
+                                   zones,
+                                   ages_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DocumentSummary, versions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DocumentBatch, documents)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandSample,
--- a/src/decisions/membership.cc
+++ b/src/decisions/membership.cc
@@ -93,7 +93,6 @@
 ZoneBeat OwnZoneBeat(const Membership& m, Time now) {
   ZoneBeat beat;
   beat.zone = m.self.zone;
-  beat.has_lists = true;
   for (const HostId& it : HostsOfZone(m, m.self.zone)) {
     const HostState state = StateOf(m, it, now);
     if (state != HostState::kDead)
@@ -104,45 +103,51 @@
   return beat;
 }
 
-std::vector<ZoneBeat> ZoneBeats(const Membership& m,
-                                bool repeat_lists,
-                                Time now) {
-  std::vector<ZoneBeat> out = {OwnZoneBeat(m, now)};
+// Adds what is known of the zones to a heartbeat. Lists that have not changed
+// lately are left out, unless `all_lists`.
+void AddZones(const Membership& m, bool all_lists, Time now, Heartbeat& beat) {
+  beat.zones.push_back(OwnZoneBeat(m, now));
   const Duration recent = m.limits.heartbeat_period * 3;
   for (const auto& [zone, news] : m.zones) {
     if (now - news.said > m.limits.zone_timeout)
       continue;
-    ZoneBeat beat;
-    beat.zone = zone;
-    beat.age_ms = Millis(now - news.said);
-    beat.has_lists = repeat_lists || now - news.lists_changed < recent;
-    if (beat.has_lists) {
-      beat.up.assign(news.up.begin(), news.up.end());
-      beat.leaving.assign(news.leaving.begin(), news.leaving.end());
+    const int64_t age_ms = Millis(now - news.said);
+    if (!all_lists && now - news.lists_changed >= recent) {
+      beat.ages_ms[zone] = age_ms;
+      continue;
     }
-    out.push_back(std::move(beat));
+    ZoneBeat it;
+    it.zone = zone;
+    it.age_ms = age_ms;
+    it.up.assign(news.up.begin(), news.up.end());
+    it.leaving.assign(news.leaving.begin(), news.leaving.end());
+    beat.zones.push_back(std::move(it));
   }
-  return out;
+}
+
+// Whether word of that age is newer than what is held; gives its time.
+bool IsNews(const Membership& m,
+            const ZoneId& zone,
+            int64_t age_ms,
+            Time now,
+            Time& said) {
+  if (zone == m.self.zone || age_ms < 0)
+    return false;
+  said = now - std::chrono::milliseconds(age_ms);
+  const auto it = m.zones.find(zone);
+  return it == m.zones.end() || it->second.said < said;
 }
 
 void TakeZoneBeat(Membership& m, const ZoneBeat& beat, Time now) {
-  if (beat.zone == m.self.zone || beat.age_ms < 0)
-    return;
-  const Time said = now - std::chrono::milliseconds(beat.age_ms);
-  const auto it = m.zones.find(beat.zone);
-  if (it != m.zones.end() && it->second.said >= said)
+  Time said;
+  if (!IsNews(m, beat.zone, beat.age_ms, now, said))
     return;
-  // Without lists the news only confirms what is already held.
-  if (!beat.has_lists) {
-    if (it != m.zones.end())
-      it->second.said = said;
-    return;
-  }
   Membership::ZoneNews news;
   news.said = said;
   news.up.insert(beat.up.begin(), beat.up.end());
   news.leaving.insert(beat.leaving.begin(), beat.leaving.end());
   news.lists_changed = now;
+  const auto it = m.zones.find(beat.zone);
   if (it != m.zones.end() && it->second.up == news.up &&
       it->second.leaving == news.leaving) {
     news.lists_changed = it->second.lists_changed;
@@ -150,6 +155,14 @@
   m.zones[beat.zone] = std::move(news);
 }
 
+// An age without lists only confirms lists that are already held.
+void TakeZoneAge(Membership& m, const ZoneId& zone, int64_t age_ms, Time now) {
+  Time said;
+  const auto it = m.zones.find(zone);
+  if (it != m.zones.end() && IsNews(m, zone, age_ms, now, said))
+    it->second.said = said;
+}
+
 HostState StateByContact(const Membership& m, const HostId& host, Time now) {
   const auto it = m.contacts.find(host);
   if (it == m.contacts.end() ||
@@ -191,6 +204,8 @@
   contact.digest = beat.digest;
   for (const ZoneBeat& it : beat.zones)
     TakeZoneBeat(m, it, now);
+  for (const auto& [zone, age_ms] : beat.ages_ms)
+    TakeZoneAge(m, zone, age_ms, now);
   return restarted;
 }
 
@@ -203,9 +218,9 @@
   plain.leaving = m.leaving;
   plain.digest = digest;
   Heartbeat full = plain;
-  const bool repeat_lists = m.beats_sent % m.limits.list_every_beats == 0;
+  const bool all_lists = m.beats_sent % m.limits.list_every_beats == 0;
   if (IsRelay(m, now))
-    full.zones = ZoneBeats(m, repeat_lists, now);
+    AddZones(m, all_lists, now, full);
   std::vector<Envelope> out;
   for (const HostId& it : BeatTargets(m, now))
     out.push_back({it, full});
@@ -214,7 +229,9 @@
 }
 
 std::vector<ZoneBeat> DescribeZones(const Membership& m, Time now) {
-  return ZoneBeats(m, true, now);
+  Heartbeat beat;
+  AddZones(m, true, now, beat);
+  return std::move(beat.zones);
 }
 
 HostState StateOf(const Membership& m, const HostId& host, Time now) {
--- a/src/decisions/membership.h
+++ b/src/decisions/membership.h
@@ -30,7 +30,7 @@
   // Relays per zone.
   size_t relays = 2;
   // The lists of zones are repeated every so many heartbeats.
-  uint64_t list_every_beats = 5;
+  uint64_t list_every_beats = 10;
 };
 
 struct Membership {
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -27,8 +27,6 @@
   ZoneId zone;
   // Time since the zone itself said so.
   int64_t age_ms = 0;
-  // Whether the lists below are given; they are left out while unchanged.
-  bool has_lists = false;
   std::vector<HostId> up;  // Includes the leaving ones.
   std::vector<HostId> leaving;
 };
@@ -40,6 +38,8 @@
   uint64_t digest = 0;  // Of the sender's replica of the documents.
   bool relay = false;   // The sender relays for its zone.
   std::vector<ZoneBeat> zones;
+  // Ages, in milliseconds, of the word of zones whose lists have not changed.
+  std::map<ZoneId, int64_t> ages_ms;
 };
 
 // Versions that the sender holds; asks for what it lacks.
--- a/tests/peers/fuzz_test.cc
+++ b/tests/peers/fuzz_test.cc
@@ -51,7 +51,7 @@
 
 std::vector<Message> Samples() {
   Heartbeat beat;
-  beat.zones = {{ZoneId("z"), 5, true, {HostId("a")}, {HostId("b")}}};
+  beat.zones = {{ZoneId("z"), 5, {HostId("a")}, {HostId("b")}}};
   SlotRequest slot;
   slot.service = ServiceId("s");
   slot.priority = Priority::kNormal;
