--- a/src/app/entry_process.cc
+++ b/src/app/entry_process.cc
@@ -141,7 +141,6 @@
       ++lookups_;
       return AnswerLookup(node_, ip);
     };
-    handler.is_ready = [this] { return IsReady(node_); };
     handler.on_call = [this](Call call) { Open(std::move(call)); };
     BOOST_LEAF_ASSIGN(callers_,
                       StartCallerServer(loop_, config, std::move(handler)));
--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/http_status.h"
 #include "callers/callers.h"
 
 namespace sassafras {
@@ -15,12 +16,6 @@
 constexpr char kLookupPath[] = "/v1/lookup";
 constexpr std::string_view kCallPrefix = "/v1/call/";
 constexpr size_t kMaxKeyBytes = 256;
-constexpr int kHttpOk = 200;
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpMethodNotAllowed = 405;
-constexpr int kHttpTooLarge = 413;
-constexpr int kHttpUnavailable = 503;
 constexpr Duration kMaxTimeout = std::chrono::minutes(10);
 
 struct CallerServer {
--- a/src/callers/callers.h
+++ b/src/callers/callers.h
@@ -37,7 +37,6 @@
 // What the entry process does with requests.
 struct CallersHandler {
   std::function<LookupAnswer(uint32_t client_ip)> look_up;
-  std::function<bool()> is_ready;
   std::function<void(Call)> on_call;
 };
 
--- a/src/decisions/entry_keys.cc
+++ b/src/decisions/entry_keys.cc
@@ -6,13 +6,11 @@
 
 namespace {
 
-constexpr int kIncarnationShift = 32;
-
 bool IsOwnerAlive(const EntryNode& node,
                   const HostId& owner,
                   ExchangeId exchange,
                   Time now) {
-  const uint64_t incarnation = exchange.value() >> kIncarnationShift;
+  const uint64_t incarnation = IncarnationOf(exchange);
   if (owner == node.self.id)
     return incarnation == node.membership.incarnation;
   if (StateOf(node.membership, owner, now) == HostState::kDead)
--- a/src/decisions/entry_node.cc
+++ b/src/decisions/entry_node.cc
@@ -7,12 +7,17 @@
 
 namespace sassafras {
 
-namespace entry_parts {
-
 namespace {
 
+// Exchange numbers carry the incarnation in their upper half.
 constexpr int kIncarnationShift = 32;
 
+}  // namespace
+
+namespace entry_parts {
+
+namespace {
+
 std::set<ZoneId> LostZones(const EntryNode& node,
                            const ServiceId& service,
                            Time now) {
@@ -265,8 +270,7 @@
     : topology(std::move(topology_in)), self(std::move(self_in)), random(seed) {
   membership.self = self;
   membership.listed[self.id] = self;
-  // Exchange numbers carry the incarnation in their upper half.
-  membership.incarnation = (random() >> entry_parts::kIncarnationShift) | 1;
+  membership.incarnation = (random() >> kIncarnationShift) | 1;
   ledger.region = self.region;
 }
 
@@ -288,11 +292,14 @@
 }
 
 ExchangeId NewExchange(EntryNode& node) {
-  const uint64_t upper = node.membership.incarnation
-                         << entry_parts::kIncarnationShift;
+  const uint64_t upper = node.membership.incarnation << kIncarnationShift;
   return ExchangeId(upper | ++node.next_exchange);
 }
 
+uint64_t IncarnationOf(ExchangeId exchange) {
+  return exchange.value() >> kIncarnationShift;
+}
+
 bool IsReady(const EntryNode& node) {
   return node.joined && node.has_intent && !node.plans.empty();
 }
--- a/src/decisions/entry_node.h
+++ b/src/decisions/entry_node.h
@@ -221,7 +221,6 @@
   Time dispatched;
   int tries = 0;
   bool caller_gone = false;
-  bool draw_again = false;
 };
 
 // An outcome that the holders of its key have not confirmed yet.
@@ -320,6 +319,9 @@
 // The next number for a request of this host.
 ExchangeId NewExchange(EntryNode& node);
 
+// The start of its host under which an exchange was numbered.
+uint64_t IncarnationOf(ExchangeId exchange);
+
 // Whether the node may answer callers.
 bool IsReady(const EntryNode& node);
 
--- a/src/decisions/entry_requests.cc
+++ b/src/decisions/entry_requests.cc
@@ -2,21 +2,16 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/http_status.h"
 #include "decisions/entry_parts.h"
 
 namespace sassafras::entry_parts {
 
 namespace {
 
-constexpr int kHttpConflict = 409;
-constexpr int kHttpUnprocessable = 422;
-constexpr int kHttpBadGateway = 502;
-constexpr int kHttpUnavailable = 503;
-constexpr int kHttpTimeout = 504;
 constexpr Duration kNotHolderPause = std::chrono::milliseconds(50);
 constexpr Duration kCapacityRetryAfter = std::chrono::seconds(5);
 constexpr Duration kOutcomeRepeat = std::chrono::milliseconds(400);
-constexpr int kIncarnationShift = 32;
 constexpr double kMeanWeight = 0.1;
 
 Exchange* FindExchange(EntryNode& node, ExchangeId id) {
@@ -446,7 +441,7 @@
     return;
   // Permission for an exchange that was closed before it dispatched: it is
   // given back. Exchanges of an earlier incarnation may have dispatched.
-  const uint64_t incarnation = go.exchange.value() >> kIncarnationShift;
+  const uint64_t incarnation = IncarnationOf(go.exchange);
   if (incarnation != node.membership.incarnation)
     return;
   Exchange closed;
--- a/src/decisions/granter.cc
+++ b/src/decisions/granter.cc
@@ -4,10 +4,17 @@
 #include <cmath>
 #include <optional>
 
+#include "decisions/granter_choice.h"
+
 namespace sassafras {
 
 namespace {
 
+using granter_choice::Choice;
+using granter_choice::ChooseEndpoint;
+using granter_choice::OnShed;
+using granter_choice::UsableSlots;
+
 constexpr double kMeanWeight = 0.05;
 constexpr Duration kGrantMargin = std::chrono::seconds(2);
 constexpr Duration kLeastWait = std::chrono::microseconds(200);
@@ -20,89 +27,6 @@
   return out;
 }
 
-size_t UsableSlots(const Granter& g,
-                   const Granter::EndpointState& state,
-                   Time now) {
-  const auto it = g.health.find(state.endpoint.id);
-  if (state.endpoint.leaving || it == g.health.end())
-    return 0;
-  if (IsEjected(it->second, now) || IsDown(it->second, now))
-    return 0;
-  const double warm = WarmShare(it->second, g.limits.health, now);
-  const double recovered =
-      state.found_slots +
-      g.limits.slot_recovery * Seconds(now - state.found_at);
-  const double found = std::min<double>(state.endpoint.slots, recovered);
-  const double slots = found * warm * g.slot_share;
-  return static_cast<size_t>(std::max(1.0, std::floor(slots)));
-}
-
-void OnShed(Granter& g, const EndpointId& endpoint, Time now) {
-  const auto it = g.endpoints.find(endpoint);
-  if (it == g.endpoints.end())
-    return;
-  Granter::EndpointState& state = it->second;
-  // What ran beside the request that was shed is what the endpoint gave.
-  const double given = static_cast<double>(state.running.size()) - 1.0;
-  state.found_slots = std::max(1.0, given);
-  state.found_at = now;
-}
-
-Time EarliestConnect(const Granter::EndpointState& state, const HostId& host) {
-  return state.connected.count(host) ? Time() : state.next_connect;
-}
-
-struct Choice {
-  Granter::EndpointState* endpoint = nullptr;  // Null to wait.
-};
-
-bool CanRun(const Granter& g,
-            const Granter::EndpointState& state,
-            const HostId& host,
-            bool suspect,
-            Time now) {
-  if (state.runs_suspect || (suspect && !state.running.empty()))
-    return false;
-  if (state.running.size() >= UsableSlots(g, state, now))
-    return false;
-  return EarliestConnect(state, host) <= now;
-}
-
-// The fit endpoint with the least part of its slots in use.
-Choice ChooseEndpoint(Granter& g,
-                      const HostId& host,
-                      Fingerprint fingerprint,
-                      bool suspect,
-                      Time now) {
-  Choice choice;
-  const auto copies = g.copies.find(fingerprint);
-  if (copies != g.copies.end()) {
-    // A suspect runs once at a time, and copies of one request run on few
-    // endpoints, so that they cannot break many at once.
-    if (suspect)
-      return choice;
-    for (const auto& [id, count] : copies->second) {
-      const auto it = g.endpoints.find(id);
-      if (it != g.endpoints.end() && CanRun(g, it->second, host, false, now))
-        return Choice{&it->second};
-    }
-    if (copies->second.size() >= g.limits.max_copy_endpoints)
-      return choice;
-  }
-  double best_load = 0;
-  for (auto& [id, state] : g.endpoints) {
-    if (!CanRun(g, state, host, suspect, now))
-      continue;
-    const double load = static_cast<double>(state.running.size()) /
-                        static_cast<double>(state.endpoint.slots);
-    if (!choice.endpoint || load < best_load) {
-      choice.endpoint = &state;
-      best_load = load;
-    }
-  }
-  return choice;
-}
-
 bool IsForeign(const Granter& g, const SlotRequest& request) {
   return request.origin != g.region;
 }
@@ -374,19 +298,26 @@
   return out;
 }
 
-// The death under which connections of the endpoint break now.
-DeathId DeathOf(Granter& g, const EndpointId& endpoint, Time now) {
+// The death under which connections of the endpoint break now. Until it has
+// answered again it is the same death: an endpoint that breaks whatever it
+// gets says nothing of the requests.
+DeathId DeathOf(Granter& g, const EndpointId& endpoint) {
   const auto it = g.endpoints.find(endpoint);
   if (it == g.endpoints.end())
     return DeathId(endpoint.value());
   Granter::EndpointState& state = it->second;
-  if (state.deaths == 0 || now - state.last_death > g.limits.death_window) {
+  if (state.answered)
     ++state.deaths;
-    state.last_death = now;
-  }
+  state.answered = false;
   return DeathId(endpoint.value() + "#" + std::to_string(state.deaths));
 }
 
+void NoteAnswered(Granter& g, const EndpointId& endpoint) {
+  const auto it = g.endpoints.find(endpoint);
+  if (it != g.endpoints.end())
+    it->second.answered = true;
+}
+
 void LearnUse(Granter& g, Priority p, const SlotRelease& release) {
   if (release.outcome != SlotOutcome::kAnswered)
     return;
@@ -519,10 +450,12 @@
   if (it != g.grants.end()) {
     const Granter::Grant grant = it->second;
     if (release.outcome == SlotOutcome::kBroken) {
-      const auto died = OnEndpointDied(poison, DeathOf(g, grant.endpoint, now),
+      const auto died = OnEndpointDied(poison, DeathOf(g, grant.endpoint),
                                        FingerprintsOn(g, grant.endpoint), now);
       notices.insert(notices.end(), died.begin(), died.end());
     }
+    if (release.outcome == SlotOutcome::kAnswered)
+      NoteAnswered(g, grant.endpoint);
     if (release.outcome == SlotOutcome::kShed)
       OnShed(g, grant.endpoint, now);
     if (release.outcome == SlotOutcome::kAnswered && grant.suspect)
@@ -579,11 +512,4 @@
   return std::max(next, now + kLeastWait);
 }
 
-double HealthySlots(const Granter& g, Time now) {
-  double slots = 0;
-  for (const auto& [id, state] : g.endpoints)
-    slots += static_cast<double>(UsableSlots(g, state, now));
-  return slots;
-}
-
 }  // namespace sassafras
--- a/src/decisions/granter.h
+++ b/src/decisions/granter.h
@@ -50,8 +50,6 @@
   // what runs.
   Duration takeover_pause = std::chrono::milliseconds(300);
   size_t max_queue = 20000;
-  // Connections that break within this time break by one death.
-  Duration death_window = std::chrono::milliseconds(500);
   // Copies of one request run on at most this many endpoints at once.
   size_t max_copy_endpoints = 2;
 };
@@ -75,7 +73,8 @@
     Time next_connect;
     bool runs_suspect = false;
     uint64_t deaths = 0;
-    Time last_death;
+    // The endpoint has answered since its last death.
+    bool answered = true;
     // Slots that the endpoint has been found to give this granter: falls when
     // it sheds, since others use its slots too, and recovers with time.
     double found_slots = 0;
--- a/src/decisions/planner.cc
+++ b/src/decisions/planner.cc
@@ -40,9 +40,12 @@
   return std::min(listed, it->second.healthy_slots);
 }
 
-double HeadroomOfZone(const PlannerInput& in, const ZoneId& zone) {
-  const RegionId* region = RegionOfZone(*in.topology, zone);
-  return region ? HeadroomOf(*in.intent, *region) : kDefaultHeadroom;
+// Headroom per zone; one pass over the zones, of which there may be many.
+Shares HeadroomOfZones(const PlannerInput& in) {
+  Shares out;
+  for (const Zone& it : in.topology->zones)
+    out[it.id] = HeadroomOf(*in.intent, it.region);
+  return out;
 }
 
 double OfferedSlots(const PlannerInput& in) {
@@ -58,9 +61,10 @@
 Shares Capacity(const PlannerInput& in, bool measured) {
   Shares out;
   double usable = 0;
+  const Shares headroom = HeadroomOfZones(in);
   for (const auto& [zone, share] : in.intent->services.at(in.service).shares) {
     const double slots = SlotsOf(in, zone, measured);
-    out[zone] = slots * (1.0 - HeadroomOfZone(in, zone));
+    out[zone] = slots * (1.0 - At(headroom, zone));
     usable += out[zone];
   }
   // A load that has just begun to be seen must not make budgets look endless.
--- a/src/endpoints/endpoint_client.cc
+++ b/src/endpoints/endpoint_client.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "base/http_client.h"
+#include "base/http_status.h"
 #include "endpoints/endpoints.h"
 
 namespace sassafras {
@@ -13,9 +14,6 @@
 namespace {
 
 constexpr long kMaxPooledConnections = 2000;
-constexpr int kHttpUnavailable = 503;
-constexpr int kHttpServerFault = 500;
-constexpr int kHttpContinueEnd = 200;
 constexpr char kExchangeHeader[] = "Sassafras-Exchange";
 
 bool SameName(std::string_view a, std::string_view b) {
@@ -317,8 +315,7 @@
 }
 
 SlotOutcome Dispatching::OutcomeOf(CURLcode code) const {
-  if (code == CURLE_OK && !wrong_exchange_ &&
-      answer_.status >= kHttpContinueEnd) {
+  if (code == CURLE_OK && !wrong_exchange_ && answer_.status >= kHttpOk) {
     if (IsShed())
       return SlotOutcome::kShed;
     return answer_.status >= kHttpServerFault ? SlotOutcome::kFailed
--- a/src/operators/commands.cc
+++ b/src/operators/commands.cc
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "base/http_status.h"
 #include "operators/operators.h"
 
 namespace sassafras {
@@ -9,7 +10,6 @@
 namespace {
 
 constexpr long kTimeoutSeconds = 10;
-constexpr long kHttpOk = 200;
 
 size_t Append(char* data, size_t size, size_t count, void* self) {
   static_cast<std::string*>(self)->append(data, size * count);
--- a/src/operators/operator_server.cc
+++ b/src/operators/operator_server.cc
@@ -1,13 +1,12 @@
 #include <utility>
 
+#include "base/http_status.h"
 #include "operators/operators.h"
 
 namespace sassafras {
 
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
 constexpr unsigned kMaxConnections = 32;
 
 void Handle(const StateSource& source, HttpSession& session) {
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/http_client.h"
+#include "base/http_status.h"
 #include "base/log.h"
 #include "store/store.h"
 
@@ -14,12 +15,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpCreated = 201;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpConflict = 409;
-constexpr int kHttpTooMany = 429;
-constexpr int kHttpGone = 410;
 constexpr long kMaxConnections = 16;
 constexpr Duration kFirstPause = std::chrono::milliseconds(200);
 constexpr Duration kLongestPause = std::chrono::seconds(3);
--- a/tests/decisions/at_most_once_test.cc
+++ b/tests/decisions/at_most_once_test.cc
@@ -338,6 +338,8 @@
   world_.Run(seconds(9));
   ASSERT_EQ(world_.call(again).state, CallRecord::State::kRefused);
   EXPECT_EQ(world_.call(again).problem.ran, Ran::kUnknown);
+  // The owner's death is found out before the caller's deadline.
+  EXPECT_EQ(world_.call(again).problem.code, "outcome_unknown");
   EXPECT_EQ(world_.RunsOfKey(key_), 1);
 }
 
--- a/tests/decisions/granter_test.cc
+++ b/tests/decisions/granter_test.cc
@@ -94,6 +94,22 @@
             PoisonVerdict::kInnocent);
 }
 
+TEST_F(GranterTest, EndpointThatBreaksEverythingCondemnsNoRequest) {
+  constexpr uint64_t kInnocent = 200;
+  std::vector<Endpoint> one = {Endpoint()};
+  one[0].id = EndpointId("x");
+  one[0].slots = 3;
+  SetEndpoints(granter_, one, now_);
+  granter_.limits.health.failures_in_a_row = 100;
+  for (uint64_t n = 1; n <= 4; ++n) {
+    ASSERT_FALSE(Ask(n, kInnocent).empty());
+    now_ += std::chrono::seconds(1);
+    End(n, SlotOutcome::kBroken);
+  }
+  EXPECT_NE(Judge(poison_, Fingerprint(kInnocent), now_),
+            PoisonVerdict::kQuarantined);
+}
+
 TEST_F(GranterTest, CopiesOfOneRequestShareFewEndpoints) {
   granter_.limits.max_copy_endpoints = 1;
   const EndpointId first = Ask(1, 7);
