Keep the intent alive in a loading test

Cause: the address sanitizer found a reference into a temporary in LoadTest.OfTwoOperatorsOneWinsAndTheOtherIsTold (test code, not the system). Change: the test holds the intent.

--- a/tests/decisions/sheet_test.cc
+++ b/tests/decisions/sheet_test.cc
@@ -198,7 +198,8 @@
   EXPECT_EQ(lost.outcome, LoadOutcome::kConflict);
   EXPECT_EQ(lost.other_operator, "operator of a");
   EXPECT_EQ(lost.other_version, Version(1));
-  const auto& shares = Stored().services.at(ServiceId("rounds")).shares;
+  const Intent stored = Stored();
+  const auto& shares = stored.services.at(ServiceId("rounds")).shares;
   EXPECT_DOUBLE_EQ(shares.at(ZoneId("cuyo-a")), 0.6);
 }
 
