--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -8,8 +8,10 @@
 
 #include "app/processes.h"
 #include "base/log.h"
+#include "gateway/gateway.h"
 #include "load/load.h"
 #include "operators/operators.h"
+#include "platform/platform.h"
 
 namespace {
 
@@ -55,6 +57,21 @@
   return run(*settings);
 }
 
+int RunGatewayCommand(std::string file) {
+  if (file.empty())
+    file = sassafras::platform::SettingsPath();
+  sassafras::InitLog(sassafras::LogLevel::kInfo);
+  return sassafras::TryOr(
+      [&]() -> sassafras::Result<int> {
+        BOOST_LEAF_AUTO(settings, sassafras::platform::ReadSettings(file));
+        return sassafras::RunGateway(settings, file);
+      },
+      [](const sassafras::Error& e) {
+        std::cerr << e.ToString() << '\n';
+        return int{sassafras::kExitBadSettings};
+      });
+}
+
 // Options that all sheet commands share.
 void AddSheetOptions(CLI::App& command, SheetOptions& options) {
   command.add_option("--settings", options.settings_file, "Settings file")
@@ -92,6 +109,14 @@
       return RunProcess(line.settings_file, &sassafras::RunEntry);
     };
   });
+  CLI::App* gateway = app.add_subcommand(
+      "gateway", "Run a host's only process on the users' platform");
+  gateway->add_option("--settings", line.settings_file,
+                      "The platform's settings file; by default where the "
+                      "platform says");
+  gateway->callback([&line] {
+    line.run = [&line] { return RunGatewayCommand(line.settings_file); };
+  });
   CLI::App* control =
       app.add_subcommand("control", "Run a host's control process");
   control->add_option("--settings", line.settings_file, "Host's settings file")
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -1,10 +1,95 @@
 #include "base/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
 namespace sassafras {
 
+namespace {
+
+// Probes that a silent peer may leave unanswered.
+constexpr int kSilentProbes = 2;
+
+size_t OnBody(char* data, size_t size, size_t count, void* self) {
+  auto* transfer = static_cast<HttpTransfer*>(self);
+  const std::string_view text(data, size * count);
+  if (transfer->on_data)
+    transfer->on_data(text);
+  else
+    transfer->response.append(text);
+  return size * count;
+}
+
+// `silence_s` points at the time, in seconds, after which a peer counts as
+// vanished; curl hands it through as a pointer.
+int SetKeepAlive(void* silence_s, curl_socket_t fd, curlsocktype) {
+  const int seconds =
+      static_cast<int>(reinterpret_cast<intptr_t>(silence_s));
+  const int on = 1;
+  const int probe_s = 1;
+  const int idle_s = std::max(1, seconds - kSilentProbes * probe_s);
+  const int silence_ms = seconds * 1000;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kSilentProbes,
+             sizeof(kSilentProbes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+             sizeof(silence_ms));
+  return CURL_SOCKOPT_OK;
+}
+
+}  // namespace
+
+HttpTransfer::~HttpTransfer() {
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(easy);
+}
+
+long HttpTransfer::Status() const {
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  return status;
+}
+
+void HttpTransfer::SetTimeout(Duration timeout) {
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Millis(timeout)));
+}
+
+void HttpTransfer::SetJson(const char* method, std::string body) {
+  request = std::move(body);
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.c_str());
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                   static_cast<long>(request.size()));
+  headers = curl_slist_append(nullptr, "Content-Type: application/json");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+}
+
+void HttpTransfer::DetectSilence(std::chrono::seconds silence) {
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetKeepAlive);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA,
+                   reinterpret_cast<void*>(silence.count()));
+}
+
+std::shared_ptr<HttpTransfer> MakeHttpTransfer(const std::string& url) {
+  auto transfer = std::make_shared<HttpTransfer>();
+  CURL* easy = transfer->easy;
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  return transfer;
+}
+
 CurlDriver::CurlDriver(Loop& loop, long max_connections)
     : loop_(loop),
       multi_(curl_multi_init()),
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -7,12 +7,39 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "base/loop.h"
 
 namespace sassafras {
 
+// One HTTP exchange; it lives until its driver reports the end.
+struct HttpTransfer {
+  CURL* easy = curl_easy_init();
+  curl_slist* headers = nullptr;
+  std::string request;   // Body that is sent.
+  std::string response;  // Body that was received.
+  std::function<void(std::string_view)> on_data;  // Instead of `response`.
+
+  HttpTransfer() = default;
+  HttpTransfer(const HttpTransfer&) = delete;
+  HttpTransfer& operator=(const HttpTransfer&) = delete;
+  ~HttpTransfer();
+
+  // Status of the answer; zero if there was none.
+  long Status() const;
+  void SetTimeout(Duration timeout);
+  // Sends `body` as JSON by `method`.
+  void SetJson(const char* method, std::string body);
+  // Finds out within `silence` that the peer has vanished, also while no
+  // bytes are due.
+  void DetectSilence(std::chrono::seconds silence);
+};
+
+std::shared_ptr<HttpTransfer> MakeHttpTransfer(const std::string& url);
+
 // Drives the transfers that are added to it.
 class CurlDriver {
  public:
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,312 @@
+#include "gateway/caller_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/http_status.h"
+#include "base/log.h"
+#include "platform/platform.h"
+
+namespace sassafras {
+
+namespace {
+
+// Requests that are read ahead of the first one's answer.
+constexpr size_t kMostPipelined = 16;
+// Bytes that wait in memory when no more requests are read ahead.
+constexpr size_t kMostInput = 64 << 10;
+
+constexpr int kHttpHeadTooLarge = 431;
+constexpr int kHttpRequestTimeout = 408;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+RequestLimits LimitsOf(const GatewayState& state) {
+  return state.config ? state.config->limits : RequestLimits();
+}
+
+int StatusOf(HttpReadState fault) {
+  switch (fault) {
+    case HttpReadState::kHeadTooLarge:
+      return kHttpHeadTooLarge;
+    case HttpReadState::kBodyTooLarge:
+      return kHttpTooLarge;
+    default:
+      return kHttpBadRequest;
+  }
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(GatewayState& state,
+                                   Socket socket,
+                                   OnClosed on_closed)
+    : state_(state),
+      on_closed_(std::move(on_closed)),
+      stream_(Stream::Adopt(state.loop, std::move(socket))),
+      last_activity_(state.loop.Now()) {}
+
+void CallerConnection::Start() {
+  Stream::Handlers handlers;
+  const std::weak_ptr<CallerConnection> weak = weak_from_this();
+  handlers.on_data = [weak](std::string_view data) {
+    if (const auto self = weak.lock())
+      self->OnData(data);
+  };
+  handlers.on_end = [weak](StreamEnd) {
+    if (const auto self = weak.lock())
+      self->OnEnd();
+  };
+  handlers.on_drained = [weak] {
+    const auto self = weak.lock();
+    if (self && !self->queue_.empty()) {
+      const ExchangePtr front = self->queue_.front();
+      front->OnCallerDrained();
+    }
+  };
+  stream_->Start(std::move(handlers));
+}
+
+void CallerConnection::OnData(std::string_view data) {
+  last_activity_ = state_.loop.Now();
+  if (closing_)
+    return;
+  input_.append(data);
+  ReadRequests();
+}
+
+bool CallerConnection::MayReadNext() const {
+  if (closing_ || !stream_->is_open())
+    return false;
+  if (reading_)
+    return reading_->wants_body();
+  return queue_.size() < kMostPipelined;
+}
+
+void CallerConnection::ReadRequests() {
+  // Handlers may lead back here while requests are being read.
+  if (in_read_)
+    return;
+  in_read_ = true;
+  const auto self = shared_from_this();
+  while (!input_.empty() && MayReadNext()) {
+    if (!ReadOne())
+      break;
+  }
+  in_read_ = false;
+  UpdateReading();
+}
+
+void CallerConnection::UpdateReading() {
+  if (!stream_->is_open())
+    return;
+  // Reading goes on as long as there is room, also to notice that the caller
+  // leaves.
+  const bool holds_body = reading_ && !reading_->wants_body();
+  stream_->SetReading(!holds_body && input_.size() < kMostInput);
+}
+
+// Reads on in the present request; false if it needs more bytes.
+bool CallerConnection::ReadOne() {
+  if (!reader_) {
+    const RequestLimits limits = LimitsOf(state_);
+    reader_ = NewRequestReader({limits.head_bytes, limits.body_bytes});
+    request_started_ = state_.loop.Now();
+  }
+  const size_t n = reader_->Read(input_);
+  input_.erase(0, n);
+  const HttpReadState at = reader_->state();
+  if (at == HttpReadState::kHead)
+    return false;
+  if (at != HttpReadState::kBody && at != HttpReadState::kComplete) {
+    OnReadFault(at);
+    return false;
+  }
+  if (!reading_)
+    BeginRequest();
+  // An answer given at once may have closed the connection.
+  if (!reader_)
+    return false;
+  PassBody();
+  return at == HttpReadState::kComplete || n > 0;
+}
+
+void CallerConnection::BeginRequest() {
+  reading_ = std::make_shared<Exchange>(state_, weak_from_this(),
+                                        reader_->head(), request_started_);
+  queue_.push_back(reading_);
+  if (reading_->request().expects_continue &&
+      reader_->state() == HttpReadState::kBody && queue_.size() == 1)
+    stream_->Write(kContinue);
+  BeginWaiting();
+}
+
+// Starts the requests whose turn has come: the first of the connection, and
+// those behind it that may be repeated, since they are sent again if the
+// connection closes before their answers.
+void CallerConnection::BeginWaiting() {
+  const std::deque<ExchangePtr> waiting = queue_;
+  for (const ExchangePtr& it : waiting) {
+    if (closing_)
+      return;
+    const bool is_first = !queue_.empty() && queue_.front() == it;
+    if (!is_first && !it->may_repeat())
+      return;
+    if (!it->has_begun())
+      it->Begin();
+  }
+}
+
+void CallerConnection::PassBody() {
+  const ExchangePtr exchange = reading_;
+  std::string body = reader_->TakeBody();
+  const bool is_complete = reader_->state() == HttpReadState::kComplete;
+  if (is_complete) {
+    reader_.reset();
+    reading_.reset();
+  }
+  if (!body.empty())
+    exchange->OnBody(std::move(body));
+  if (is_complete)
+    exchange->OnBodyEnd();
+}
+
+void CallerConnection::OnReadFault(HttpReadState fault) {
+  LogLine(LogLevel::kInfo, "caller", "Request cannot be read.")
+      .With("reason", NameOf(fault));
+  const int status = StatusOf(fault);
+  const ExchangePtr exchange = std::exchange(reading_, nullptr);
+  reader_.reset();
+  input_.clear();
+  if (!exchange) {
+    AnswerFault(status);
+    return;
+  }
+  // The connection closes behind this request's answer.
+  closing_ = true;
+  exchange->OnBodyFault(status);
+}
+
+// Answers a request whose head could not be read, behind the answers before
+// it, and closes.
+void CallerConnection::AnswerFault(int status) {
+  closing_ = true;
+  if (queue_.empty()) {
+    HttpFields fields = {{"Content-Length", "0"}, {"Connection", "close"}};
+    stream_->Write(FormatAnswerHead(status, fields));
+    Release(true);
+  }
+}
+
+bool CallerConnection::IsFront(const Exchange& exchange) const {
+  return !queue_.empty() && queue_.front().get() == &exchange;
+}
+
+void CallerConnection::Send(Exchange& exchange, std::string bytes) {
+  if (IsFront(exchange))
+    stream_->Write(bytes);
+  else
+    exchange.held_output += bytes;
+}
+
+size_t CallerConnection::Unsent(const Exchange& exchange) const {
+  return IsFront(exchange) ? stream_->pending() : exchange.held_output.size();
+}
+
+bool CallerConnection::ClosesAfter(const Exchange& exchange) const {
+  if (state_.stopping || !exchange.caller_keeps_alive())
+    return true;
+  return closing_ && !queue_.empty() && queue_.back().get() == &exchange;
+}
+
+void CallerConnection::Finish(Exchange& exchange) {
+  exchange.held_finish = true;
+  if (IsFront(exchange))
+    PopFinished();
+}
+
+void CallerConnection::Break(Exchange& exchange) {
+  exchange.held_break = true;
+  if (IsFront(exchange))
+    Release(false);
+}
+
+// Sends what the next exchanges have held back while it was not their turn.
+void CallerConnection::PopFinished() {
+  const auto self = shared_from_this();
+  while (!queue_.empty() && stream_->is_open()) {
+    const ExchangePtr front = queue_.front();
+    if (!front->held_output.empty())
+      stream_->Write(std::exchange(front->held_output, {}));
+    if (front->held_break) {
+      Release(false);
+      return;
+    }
+    if (!front->held_finish)
+      break;
+    const bool closes = ClosesAfter(*front);
+    queue_.pop_front();
+    last_activity_ = state_.loop.Now();
+    if (closes) {
+      Release(true);
+      return;
+    }
+  }
+  if (closing_ && queue_.empty()) {
+    Release(true);
+    return;
+  }
+  BeginWaiting();
+  ReadRequests();
+}
+
+void CallerConnection::ResumeBody() {
+  ReadRequests();
+}
+
+void CallerConnection::OnEnd() {
+  Release(false);
+}
+
+// Ends the connection; requests without an answer lose their caller.
+void CallerConnection::Release(bool gracefully) {
+  const auto self = shared_from_this();
+  closing_ = true;
+  if (gracefully)
+    stream_->CloseGracefully();
+  else
+    stream_->Close();
+  reader_.reset();
+  reading_.reset();
+  const std::deque<ExchangePtr> left = std::exchange(queue_, {});
+  for (const ExchangePtr& it : left)
+    it->OnCallerGone();
+  if (const auto on_closed = std::exchange(on_closed_, nullptr))
+    on_closed(this);
+}
+
+void CallerConnection::Sweep(Time now) {
+  const RequestLimits limits = LimitsOf(state_);
+  const auto self = shared_from_this();
+  const bool reads_head =
+      !reading_ && reader_ && (reader_->has_started() || !input_.empty());
+  if (reads_head && now - request_started_ > limits.head_timeout) {
+    reader_.reset();
+    input_.clear();
+    AnswerFault(kHttpRequestTimeout);
+    return;
+  }
+  const bool is_idle = queue_.empty() && !reads_head;
+  if (is_idle && now - last_activity_ > limits.idle_timeout)
+    Release(true);
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (queue_.empty())
+    Release(true);
+}
+
+void CallerConnection::CloseNow() {
+  Release(false);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/gateway/endpoint_pool.h
@@ -0,0 +1,50 @@
+// Kept connections to endpoints. Each belongs to one incarnation of an
+// endpoint and carries one request at a time.
+#ifndef GATEWAY_ENDPOINT_POOL_H_
+#define GATEWAY_ENDPOINT_POOL_H_
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/stream.h"
+#include "routing/endpoint_set.h"
+
+namespace sassafras {
+
+class EndpointPool {
+ public:
+  explicit EndpointPool(Loop& loop) : loop_(loop) {}
+  EndpointPool(const EndpointPool&) = delete;
+  EndpointPool& operator=(const EndpointPool&) = delete;
+
+  // A connection that has been idle for `longest_idle` at most; null if there
+  // is none. The caller sets its handlers.
+  std::shared_ptr<Stream> Take(const Endpoint& endpoint, Duration longest_idle);
+  // Keeps a connection after a complete answer. `idle_timeout`: how long the
+  // endpoint keeps it.
+  void Put(const EndpointPtr& endpoint,
+           const std::shared_ptr<Stream>& stream,
+           Duration idle_timeout);
+  // Closes the kept connections of an endpoint that gets nothing new.
+  void Drop(const Endpoint& endpoint);
+  // Closes connections whose time is up.
+  void Sweep();
+  size_t size() const;
+
+ private:
+  struct Kept {
+    std::shared_ptr<Stream> stream;
+    Time since;
+    Time until;
+  };
+  void Remove(const Endpoint* endpoint, const Stream* stream);
+
+  Loop& loop_;
+  // The latest used connection of an endpoint is the last of its list.
+  std::unordered_map<const Endpoint*, std::vector<Kept>> kept_;
+};
+
+}  // namespace sassafras
+
+#endif  // GATEWAY_ENDPOINT_POOL_H_
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,696 @@
+#include "gateway/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/http_status.h"
+#include "base/log.h"
+#include "platform/platform.h"
+
+namespace sassafras {
+
+namespace {
+
+// A request's body up to this size is kept until the answer, so that it can
+// be sent again; a longer one is streamed.
+constexpr size_t kReplayBytes = 256 << 10;
+// Bytes of a request's body that wait for an endpoint or for the caller.
+constexpr size_t kBodyWindow = 256 << 10;
+// Bytes on their way into one connection to an endpoint.
+constexpr size_t kSendWindow = 64 << 10;
+// An answer up to this size reaches the caller only when it is whole, so that
+// one that breaks off can be repeated; a longer one is streamed.
+constexpr size_t kHoldBytes = 64 << 10;
+// Unsent bytes of an answer above which the endpoint is not read from.
+constexpr size_t kAnswerWindow = 256 << 10;
+// Between two regions a connection takes one round trip.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// An endpoint stops at the deadline and says so itself; its answer needs time
+// to get here.
+constexpr Duration kDeadlineSlack = std::chrono::milliseconds(60);
+// A kept connection that has been idle for longer may have been closed by the
+// endpoint unnoticed; work that runs at most once does not take the risk.
+constexpr Duration kYoungIdle = std::chrono::milliseconds(1500);
+// Endpoints that do not say how long they keep a connection.
+constexpr Duration kDefaultIdle = std::chrono::seconds(5);
+// No configuration is known yet: the first one takes about this long.
+constexpr Duration kStartRetry = std::chrono::milliseconds(500);
+constexpr HttpReadLimits kAnswerLimits{64 << 10, 1ULL << 30};
+
+bool IsBodiless(int status) {
+  return status == 204 || status == 304;
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+Exchange::Exchange(GatewayState& state,
+                   std::weak_ptr<ExchangeSink> sink,
+                   const HttpHead& head,
+                   Time arrived)
+    : state_(state),
+      sink_(std::move(sink)),
+      request_(platform::DecodeRequest(head)),
+      caller_keeps_alive_(head.keep_alive),
+      has_body_(head.chunked || head.content_length.value_or(0) > 0),
+      caller_chunked_(head.chunked),
+      body_length_(head.content_length),
+      config_(state.config),
+      arrived_(arrived),
+      deadline_(arrived) {
+  ++state_.open_exchanges;
+  if (config_)
+    route_ = FindRoute(*config_, request_.host, request_.path);
+}
+
+Exchange::~Exchange() {
+  --state_.open_exchanges;
+  if (try_ && try_->stream) {
+    OnEnded(*try_->endpoint);
+    try_->stream->Close();
+  }
+}
+
+uint64_t Exchange::HashOfId() const {
+  return HashText(request_.id);
+}
+
+Duration Exchange::TimeLeft() const {
+  return deadline_ - state_.loop.Now();
+}
+
+void Exchange::Begin() {
+  begun_ = true;
+  if (!config_) {
+    Refuse("no_configuration", kStartRetry);
+    return;
+  }
+  if (request_.id.empty()) {
+    AnswerOwn(kHttpBadRequest, "no_request_id", std::nullopt);
+    return;
+  }
+  if (!route_) {
+    AnswerOwn(kHttpNotFound, "no_route", std::nullopt);
+    return;
+  }
+  service_ = ChooseService(*route_, HashOfId());
+  const Duration limit =
+      std::min(request_.time_limit.value_or(route_->timeout), route_->timeout);
+  deadline_ = arrived_ + limit;
+  OnRequest(state_.retries[service_], state_.settings.retry_bound,
+            state_.loop.Now());
+  StartTimer(TimeLeft());
+  if (!has_body_)
+    body_complete_ = true;
+  if (body_complete_ || body_.size() >= kReplayBytes)
+    TryNext();
+}
+
+void Exchange::StartTimer(Duration delay) {
+  timer_ = state_.loop.After(std::max(delay, Duration(0)),
+                             [weak = weak_from_this()] {
+                               if (const auto self = weak.lock())
+                                 self->OnDeadline();
+                             });
+}
+
+bool Exchange::wants_body() const {
+  if (finished_ || body_complete_)
+    return true;
+  const size_t sent = try_ ? try_->body_sent : body_begin_;
+  return body_begin_ + body_.size() - sent < kBodyWindow ||
+         (sends_ == 0 && !try_);
+}
+
+void Exchange::OnBody(std::string data) {
+  // What follows an early answer is read and dropped.
+  if (finished_ || answer_begun_)
+    return;
+  body_ += data;
+  if (!begun_)
+    return;
+  if (try_ && try_->sent)
+    SendBody();
+  else if (!try_ && body_.size() >= kReplayBytes)
+    TryNext();
+}
+
+void Exchange::OnBodyEnd() {
+  body_complete_ = true;
+  if (finished_ || !begun_)
+    return;
+  if (try_ && try_->sent)
+    SendBody();
+  else if (!try_)
+    TryNext();
+}
+
+void Exchange::OnBodyFault(int status) {
+  if (finished_)
+    return;
+  if (answer_begun_) {
+    Finish(0, "body_fault");
+    return;
+  }
+  AnswerOwn(status, "body_fault", std::nullopt);
+}
+
+// Places the request and sends it, or refuses it.
+void Exchange::TryNext() {
+  const Time now = state_.loop.Now();
+  PlacementRequest query;
+  query.service = &service_;
+  query.route = route_;
+  query.affinity_key = request_.affinity_key;
+  query.random = HashPair(HashOfId(), tried_.size());
+  for (const EndpointPtr& it : tried_)
+    query.tried.push_back(it.get());
+  const Placement placement =
+      PlaceRequest(state_.endpoints, *config_, state_.pacing, query, now);
+  load_seen_ = placement.load;
+  if (!placement.endpoint) {
+    Refuse(NameOf(placement.reason).data(),
+           RetryAfter(state_.admission, service_,
+                      UnitInterval(state_.random())));
+    return;
+  }
+  const AdmissionVerdict verdict =
+      Admit(state_.admission, {&service_, &route_->name, placement.load,
+                               placement.endpoint->record.slots, TimeLeft()});
+  if (!verdict.admitted) {
+    Refuse("no_time", verdict.retry_after);
+    return;
+  }
+  OnPlaced(*config_, *placement.endpoint, now);
+  Connect(placement.endpoint);
+}
+
+void Exchange::Connect(const EndpointPtr& endpoint) {
+  try_ = std::make_unique<Try>();
+  try_->endpoint = endpoint;
+  try_->started = state_.loop.Now();
+  tried_.push_back(endpoint);
+  OnSent(*endpoint);
+  const Duration longest_idle = may_repeat() ? Duration::max() : kYoungIdle;
+  try_->stream = state_.pool.Take(*endpoint, longest_idle);
+  Stream::Handlers handlers;
+  const std::weak_ptr<Exchange> weak = weak_from_this();
+  handlers.on_connected = [weak] {
+    if (const auto self = weak.lock())
+      self->OnConnected();
+  };
+  // An exchange whose caller has left lives on through its connection until
+  // the endpoint is done, if the work must not be broken off.
+  handlers.on_data = [weak](std::string_view data) {
+    if (const auto self = weak.lock())
+      self->OnAnswerData(data);
+  };
+  handlers.on_end = [weak](StreamEnd end) {
+    if (const auto self = weak.lock())
+      self->OnStreamEnd(end);
+  };
+  handlers.on_drained = [weak] {
+    if (const auto self = weak.lock())
+      self->OnEndpointDrained();
+  };
+  if (try_->stream) {
+    try_->reused = true;
+    try_->stream->set_handlers(std::move(handlers));
+    OnConnected();
+    return;
+  }
+  auto stream =
+      TryOr([&] { return Stream::Connect(state_.loop, endpoint->record.address,
+                                         state_.settings.ip); },
+            [&](const Error& e) -> std::shared_ptr<Stream> {
+              LogLine(LogLevel::kWarning, "request", "Cannot connect.")
+                  .With("id", request_.id)
+                  .With("reason", e.ToString());
+              return nullptr;
+            });
+  if (!stream) {
+    // On a later turn, so that a row of failures does not nest.
+    state_.loop.Post([weak] {
+      const auto self = weak.lock();
+      if (self && self->try_)
+        self->EndTry(TryOutcome::kNotSent);
+    });
+    return;
+  }
+  state_.metrics.Count("gateway_endpoint_connections_total", "");
+  try_->stream = std::move(stream);
+  connect_timer_ = state_.loop.After(
+      std::min(kConnectTimeout, std::max(TimeLeft(), Duration(1))), [weak] {
+        const auto self = weak.lock();
+        if (self && self->try_ && !self->try_->sent)
+          self->EndTry(TryOutcome::kNotSent);
+      });
+  try_->stream->Start(std::move(handlers));
+}
+
+void Exchange::OnConnected() {
+  connect_timer_.reset();
+  SendRequest();
+}
+
+void Exchange::SendRequest() {
+  Try& t = *try_;
+  HttpFields fields =
+      platform::EncodeRequest(request_, t.endpoint->record.id, TimeLeft());
+  const bool is_chunked = has_body_ && !body_complete_ && !body_length_;
+  if (is_chunked)
+    fields.push_back({"Transfer-Encoding", "chunked"});
+  else if (has_body_ || body_length_)
+    fields.push_back(
+        {"Content-Length", std::to_string(body_length_.value_or(
+                               body_begin_ + body_.size()))});
+  caller_chunked_ = is_chunked;
+  t.reader =
+      NewAnswerReader(kAnswerLimits, request_.method == "HEAD");
+  t.sent = true;
+  t.sent_at = state_.loop.Now();
+  ++sends_;
+  t.stream->Write(
+      FormatRequestHead(request_.method, request_.target, fields));
+  SendBody();
+}
+
+void Exchange::SendBody() {
+  Try& t = *try_;
+  if (t.body_ended || !t.stream || !t.stream->is_open())
+    return;
+  while (t.stream->pending() < kSendWindow) {
+    const size_t at = t.body_sent - body_begin_;
+    const size_t n = std::min(body_.size() - at, kSendWindow);
+    if (n == 0)
+      break;
+    const std::string_view piece(body_.data() + at, n);
+    t.body_sent += n;
+    t.stream->Write(caller_chunked_ ? FormatChunk(piece) : std::string(piece));
+  }
+  if (body_begin_ + body_.size() > kReplayBytes) {
+    // Too long to be sent again: keep only what is still to be sent.
+    body_.erase(0, t.body_sent - body_begin_);
+    body_begin_ = t.body_sent;
+  }
+  if (body_complete_ && t.body_sent == body_begin_ + body_.size()) {
+    t.body_ended = true;
+    if (caller_chunked_)
+      t.stream->Write(kLastChunk);
+  }
+}
+
+void Exchange::OnEndpointDrained() {
+  if (!try_ || !try_->sent)
+    return;
+  SendBody();
+  if (const auto sink = sink_.lock(); sink && !body_complete_)
+    sink->ResumeBody();
+}
+
+void Exchange::OnAnswerData(std::string_view data) {
+  if (!try_ || !try_->sent)
+    return;
+  const auto self = shared_from_this();
+  try_->input.append(data);
+  ReadAnswers();
+}
+
+void Exchange::ReadAnswers() {
+  while (try_ && !try_->input.empty()) {
+    Try& t = *try_;
+    const size_t n = t.reader->Read(t.input);
+    t.input.erase(0, n);
+    if (t.reader->state() == HttpReadState::kHead)
+      return;
+    if (t.reader->state() != HttpReadState::kBody &&
+        t.reader->state() != HttpReadState::kComplete) {
+      EndTry(TryOutcome::kBadAnswer);
+      return;
+    }
+    if (!TakeAnswerHead())
+      return;
+    t.body += t.reader->TakeBody();
+    if (t.skips)
+      t.body.clear();
+    if (t.reader->state() == HttpReadState::kComplete) {
+      if (TakeAnswerEnd())
+        return;
+      continue;
+    }
+    if (answer_begun_ || t.body.size() > kHoldBytes)
+      ForwardAnswer(false);
+    return;
+  }
+}
+
+// Judges the head of the answer being read; false if the try has ended.
+bool Exchange::TakeAnswerHead() {
+  Try& t = *try_;
+  if (t.has_answer || t.skips)
+    return true;
+  const HttpHead& head = t.reader->head();
+  if (head.status < 200) {
+    // An interim answer; switching protocols was not asked for.
+    t.skips = true;
+    return true;
+  }
+  t.answer = platform::DecodeAnswer(head);
+  if (!t.answer.request_id.empty() && t.answer.request_id != request_.id) {
+    t.skips = true;
+    state_.metrics.Count("gateway_foreign_answers_total", "");
+    LogLine(LogLevel::kWarning, "request", "Another request's answer arrived.")
+        .With("id", request_.id)
+        .With("other", t.answer.request_id)
+        .With("endpoint", t.endpoint->record.id);
+    return true;
+  }
+  t.has_answer = true;
+  if (t.answer.load) {
+    OnReport(*t.endpoint, {t.answer.load->running, t.answer.load->waiting,
+                           t.answer.load->slots, state_.loop.Now()});
+  }
+  const bool is_proper = t.answer.is_signed && !t.answer.request_id.empty() &&
+                         !t.answer.is_encoded;
+  if (!t.answer.proves_not_run && IsSuccess(t.answer.status) && !is_proper) {
+    EndTry(TryOutcome::kBadAnswer);
+    return false;
+  }
+  return true;
+}
+
+// Takes the end of a message; true if the try has ended with it.
+bool Exchange::TakeAnswerEnd() {
+  Try& t = *try_;
+  if (t.skips) {
+    t.skips = false;
+    t.reader =
+        NewAnswerReader(kAnswerLimits, request_.method == "HEAD");
+    return false;
+  }
+  if (t.answer.proves_not_run)
+    EndTry(TryOutcome::kNotRun);
+  else if (t.answer.status >= kHttpServerFault)
+    EndTry(TryOutcome::kFailed);
+  else
+    EndTry(TryOutcome::kAnswered);
+  return true;
+}
+
+void Exchange::OnStreamEnd(StreamEnd end) {
+  if (!try_)
+    return;
+  const auto self = shared_from_this();
+  Try& t = *try_;
+  if (!t.sent) {
+    EndTry(TryOutcome::kNotSent);
+    return;
+  }
+  if (end == StreamEnd::kClosed && t.has_answer) {
+    // An answer without a length ends with its connection.
+    t.reader->ReadEnd();
+    t.body += t.reader->TakeBody();
+    if (t.reader->state() == HttpReadState::kComplete) {
+      TakeAnswerEnd();
+      return;
+    }
+  }
+  EndTry(TryOutcome::kBroken);
+}
+
+HttpFields Exchange::AnswerFields(const EndpointAnswer& answer) const {
+  HttpFields fields = answer.forwarded;
+  const auto sink = sink_.lock();
+  if (sink && sink->ClosesAfter(*this))
+    fields.push_back({"Connection", "close"});
+  return fields;
+}
+
+// Hands a part of the answer's body to the caller, its head before the first.
+void Exchange::ForwardAnswer(bool complete) {
+  const auto sink = sink_.lock();
+  if (!sink || caller_gone_) {
+    try_->body.clear();
+    return;
+  }
+  Try& t = *try_;
+  const HttpHead& head = t.reader->head();
+  const bool has_body =
+      request_.method != "HEAD" && !IsBodiless(t.answer.status);
+  if (!answer_begun_) {
+    answer_begun_ = true;
+    HttpFields fields = AnswerFields(t.answer);
+    answer_chunked_ = !complete && !head.content_length;
+    if (has_body && answer_chunked_)
+      fields.push_back({"Transfer-Encoding", "chunked"});
+    else if (has_body)
+      fields.push_back(
+          {"Content-Length", std::to_string(complete
+                                                ? t.body.size()
+                                                : *head.content_length)});
+    sink->Send(*this, FormatAnswerHead(t.answer.status, fields));
+  }
+  if (has_body && !t.body.empty())
+    sink->Send(*this, answer_chunked_ ? FormatChunk(t.body)
+                                      : std::exchange(t.body, {}));
+  t.body.clear();
+  if (complete && answer_chunked_)
+    sink->Send(*this, std::string(kLastChunk));
+  if (!complete && t.stream && sink->Unsent(*this) > kAnswerWindow)
+    t.stream->SetReading(false);
+}
+
+void Exchange::OnCallerDrained() {
+  if (try_ && try_->stream)
+    try_->stream->SetReading(true);
+}
+
+// Records what the try's end says about its endpoint.
+void Exchange::NoteOutcome(const Try& ended, TryOutcome outcome) {
+  const Time now = state_.loop.Now();
+  Endpoint& endpoint = *ended.endpoint;
+  OnEnded(endpoint);
+  switch (outcome) {
+    case TryOutcome::kAnswered:
+      OnSuccess(endpoint, now);
+      OnServiceTime(state_.admission, service_, route_->name,
+                    now - ended.sent_at);
+      break;
+    case TryOutcome::kNotRun:
+      endpoint.last_success = now;
+      break;
+    case TryOutcome::kFailed:
+    case TryOutcome::kTimedOut:
+      break;
+    case TryOutcome::kNotSent:
+    case TryOutcome::kBroken:
+    case TryOutcome::kBadAnswer:
+      OnFailure(endpoint, now);
+      break;
+  }
+  state_.metrics.Count(
+      "gateway_tries_total",
+      "outcome=\"" + std::string(NameOf(outcome)) + "\"");
+}
+
+// Keeps the connection if it can carry another request, else closes it.
+void Exchange::ReleaseStream(TryOutcome outcome) {
+  Try& t = *try_;
+  if (!t.stream || !t.stream->is_open())
+    return;
+  const bool is_whole = outcome == TryOutcome::kAnswered ||
+                        outcome == TryOutcome::kFailed ||
+                        outcome == TryOutcome::kNotRun;
+  const bool is_reusable =
+      is_whole && t.body_ended && t.input.empty() && t.stream->pending() == 0 &&
+      t.reader->state() == HttpReadState::kComplete &&
+      t.reader->head().keep_alive;
+  if (is_reusable)
+    state_.pool.Put(t.endpoint, t.stream,
+                    t.answer.idle_timeout.value_or(kDefaultIdle));
+  else
+    t.stream->Close();
+}
+
+void Exchange::EndTry(TryOutcome outcome) {
+  connect_timer_.reset();
+  NoteOutcome(*try_, outcome);
+  ReleaseStream(outcome);
+  if (try_->sent && outcome != TryOutcome::kNotRun)
+    may_have_run_ = true;
+  auto ended = std::move(try_);
+  AfterTry(outcome, std::move(*ended));
+}
+
+void Exchange::AfterTry(TryOutcome outcome, Try ended) {
+  if (finished_)
+    return;
+  TryEnd end;
+  end.outcome = outcome;
+  end.kind = route_->kind;
+  end.may_have_run = may_have_run_;
+  end.replayable = body_begin_ == 0;
+  end.answer_begun = answer_begun_;
+  end.sends = sends_;
+  end.max_attempts = route_->max_attempts;
+  end.time_left = TimeLeft();
+  // Nothing has arrived anywhere yet: the next send is still the first.
+  const bool may_retry =
+      IsRetryUseful(end) &&
+      (sends_ == 0 ||
+       TakeRetry(state_.retries[service_], state_.settings.retry_bound,
+                 state_.AliveHosts(), state_.loop.Now()));
+  const NextStep step = DecideNext(end, may_retry);
+  if (step != NextStep::kDeliver || outcome != TryOutcome::kAnswered)
+    LogTry(ended, outcome, step);
+  switch (step) {
+    case NextStep::kTryAgain:
+      TryNext();
+      return;
+    case NextStep::kDeliver:
+      Deliver(ended);
+      return;
+    case NextStep::kRefuse:
+      Refuse(NameOf(outcome).data(),
+             RetryAfter(state_.admission, service_,
+                        UnitInterval(state_.random())));
+      return;
+    case NextStep::kFail:
+      AnswerOwn(kHttpBadGateway, NameOf(outcome).data(), std::nullopt);
+      return;
+    case NextStep::kFailTime:
+      AnswerOwn(kHttpTimeout, NameOf(outcome).data(), std::nullopt);
+      return;
+  }
+}
+
+void Exchange::Deliver(Try& ended) {
+  try_ = std::make_unique<Try>(std::move(ended));
+  try_->stream.reset();
+  ForwardAnswer(true);
+  const int status = try_->answer.status;
+  tried_.push_back(try_->endpoint);
+  try_.reset();
+  Finish(status, "endpoint");
+}
+
+void Exchange::LogTry(const Try& ended,
+                      TryOutcome outcome,
+                      NextStep step) const {
+  const Time now = state_.loop.Now();
+  LogLine(LogLevel::kInfo, "request", "Try ended.")
+      .With("id", request_.id)
+      .With("endpoint", ended.endpoint->record.id)
+      .With("outcome", NameOf(outcome))
+      .With("status", ended.has_answer ? ended.answer.status : 0)
+      .With("next", NameOf(step))
+      .With("sends", sends_)
+      .With("reused", ended.reused)
+      .With("try_ms", Millis(now - ended.started))
+      .With("left_ms", Millis(TimeLeft()));
+}
+
+void Exchange::Refuse(const char* cause, std::optional<Duration> retry_after) {
+  AnswerOwn(kHttpUnavailable, cause, retry_after);
+}
+
+void Exchange::AnswerOwn(int status,
+                         const char* cause,
+                         std::optional<Duration> retry_after) {
+  if (finished_)
+    return;
+  const auto sink = sink_.lock();
+  if (answer_begun_) {
+    // The caller must see that the answer is not whole.
+    finished_ = true;
+    timer_.reset();
+    if (sink)
+      sink->Break(*this);
+    return;
+  }
+  if (sink && !caller_gone_) {
+    HttpFields fields = platform::EncodeOwnAnswer(request_.id, retry_after);
+    fields.push_back({"Content-Length", "0"});
+    if (sink->ClosesAfter(*this))
+      fields.push_back({"Connection", "close"});
+    answer_begun_ = true;
+    sink->Send(*this, FormatAnswerHead(status, fields));
+  }
+  Finish(status, cause);
+}
+
+void Exchange::Finish(int status, const char* cause) {
+  finished_ = true;
+  timer_.reset();
+  const Duration took = state_.loop.Now() - arrived_;
+  LogLine(LogLevel::kInfo, "request", "Answered.")
+      .With("id", request_.id)
+      .With("route", route_ ? route_->name : "-")
+      .With("service", service_)
+      .With("status", status)
+      .With("cause", cause)
+      .With("sends", sends_)
+      .With("endpoint", tried_.empty() ? EndpointId("-") : tried_.back()->record.id)
+      .With("load", load_seen_)
+      .With("ms", Millis(took))
+      .With("config", config_ ? config_->version : 0);
+  const std::string labels =
+      "status=\"" + std::to_string(status) + "\",cause=\"" + cause + "\"";
+  state_.metrics.Count("gateway_answers_total", labels);
+  state_.metrics.Observe("gateway_answer_seconds", "", took);
+  if (const auto sink = sink_.lock(); sink && !caller_gone_)
+    sink->Finish(*this);
+}
+
+void Exchange::OnDeadline() {
+  const auto self = shared_from_this();
+  if (finished_)
+    return;
+  if (try_ && try_->sent && !deadline_extended_) {
+    deadline_extended_ = true;
+    StartTimer(kDeadlineSlack);
+    return;
+  }
+  if (try_) {
+    EndTry(try_->sent ? TryOutcome::kTimedOut : TryOutcome::kNotSent);
+    return;
+  }
+  if (may_have_run_)
+    AnswerOwn(kHttpTimeout, "timed_out", std::nullopt);
+  else
+    Refuse("timed_out", std::nullopt);
+}
+
+void Exchange::OnCallerGone() {
+  if (finished_ || caller_gone_)
+    return;
+  caller_gone_ = true;
+  const bool must_run_on =
+      try_ && try_->sent && try_->body_ended && !may_repeat();
+  LogLine(LogLevel::kInfo, "request", "Caller left.")
+      .With("id", request_.id)
+      .With("sends", sends_)
+      .With("runs_on", must_run_on)
+      .With("ms", Millis(state_.loop.Now() - arrived_));
+  state_.metrics.Count("gateway_callers_left_total", "");
+  if (must_run_on) {
+    // The timer keeps the exchange alive until the endpoint is done.
+    timer_ = state_.loop.After(
+        std::max(TimeLeft() + kDeadlineSlack, Duration(0)),
+        [self = shared_from_this()] {
+          self->deadline_extended_ = true;
+          self->OnDeadline();
+        });
+    return;
+  }
+  finished_ = true;
+  timer_.reset();
+  if (try_)
+    EndTry(TryOutcome::kTimedOut);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,159 @@
+// One request of a caller and its way to an answer: placed, sent to endpoints
+// and answered or refused.
+#ifndef GATEWAY_EXCHANGE_H_
+#define GATEWAY_EXCHANGE_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/gateway_state.h"
+#include "gateway/wire_types.h"
+#include "http1/http1.h"
+
+namespace sassafras {
+
+class Exchange;
+
+// The connection of the caller, as its exchanges use it.
+class ExchangeSink {
+ public:
+  virtual ~ExchangeSink() = default;
+
+  // Sends a part of the exchange's answer, in turn.
+  virtual void Send(Exchange& exchange, std::string bytes) = 0;
+  // The answer is complete.
+  virtual void Finish(Exchange& exchange) = 0;
+  // The answer has broken off and must not look complete.
+  virtual void Break(Exchange& exchange) = 0;
+  // Whether the connection ends behind this exchange's answer.
+  virtual bool ClosesAfter(const Exchange& exchange) const = 0;
+  // There is room again for more of the request's body.
+  virtual void ResumeBody() = 0;
+  // Bytes of the exchange's answer that the caller has not taken yet.
+  virtual size_t Unsent(const Exchange& exchange) const = 0;
+};
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(GatewayState& state,
+           std::weak_ptr<ExchangeSink> sink,
+           const HttpHead& head,
+           Time arrived);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  // Decides on the request once its head is known.
+  void Begin();
+  void OnBody(std::string data);
+  void OnBodyEnd();
+  // The body cannot be read on: `status` says why.
+  void OnBodyFault(int status);
+  // The caller has gone away before its answer was complete.
+  void OnCallerGone();
+  // The caller has taken what was sent.
+  void OnCallerDrained();
+
+  bool may_repeat() const { return !route_ || MayRepeat(route_->kind); }
+  bool has_begun() const { return begun_; }
+  bool is_finished() const { return finished_; }
+  bool is_body_complete() const { return body_complete_; }
+  // Whether more of the body may be read from the caller now.
+  bool wants_body() const;
+  // Whether any byte of the request was handed to an endpoint.
+  bool was_dispatched() const { return sends_ > 0; }
+  const CallerRequest& request() const { return request_; }
+  bool caller_keeps_alive() const { return caller_keeps_alive_; }
+
+  // Answer that waits for the answers before it; used by the sink.
+  std::string held_output;
+  bool held_finish = false;
+  bool held_break = false;
+
+ private:
+  // One send to an endpoint.
+  struct Try {
+    EndpointPtr endpoint;
+    std::shared_ptr<Stream> stream;
+    std::unique_ptr<HttpReader> reader;
+    EndpointAnswer answer;
+    std::string input;
+    std::string body;         // Answer's body that the caller has not got.
+    size_t body_sent = 0;     // Bytes of the request's body handed over.
+    bool reused = false;
+    bool sent = false;        // The request's head was handed over.
+    bool body_ended = false;  // The request was handed over in whole.
+    bool has_answer = false;  // `answer` is this request's.
+    bool skips = false;       // The answer being read is another request's.
+    Time started;
+    Time sent_at;
+  };
+
+  void TryNext();
+  void Connect(const EndpointPtr& endpoint);
+  void OnConnected();
+  void SendRequest();
+  void SendBody();
+  void OnEndpointDrained();
+  void OnAnswerData(std::string_view data);
+  void ReadAnswers();
+  bool TakeAnswerHead();
+  bool TakeAnswerEnd();
+  void ForwardAnswer(bool complete);
+  void OnStreamEnd(StreamEnd end);
+  void EndTry(TryOutcome outcome);
+  void ReleaseStream(TryOutcome outcome);
+  void AfterTry(TryOutcome outcome, Try ended);
+  void Deliver(Try& ended);
+  void Refuse(const char* cause, std::optional<Duration> retry_after);
+  void AnswerOwn(int status,
+                 const char* cause,
+                 std::optional<Duration> retry_after);
+  void Finish(int status, const char* cause);
+  void OnDeadline();
+  void StartTimer(Duration delay);
+  HttpFields AnswerFields(const EndpointAnswer& answer) const;
+  void NoteOutcome(const Try& ended, TryOutcome outcome);
+  void LogTry(const Try& ended, TryOutcome outcome, NextStep step) const;
+  Duration TimeLeft() const;
+  uint64_t HashOfId() const;
+
+  GatewayState& state_;
+  std::weak_ptr<ExchangeSink> sink_;
+  CallerRequest request_;
+  bool caller_keeps_alive_ = true;
+  bool has_body_ = false;
+  bool caller_chunked_ = false;
+  std::optional<uint64_t> body_length_;
+
+  // Held so that the route outlives a change of the configuration.
+  std::shared_ptr<const SteeringConfig> config_;
+  const Route* route_ = nullptr;
+  ServiceId service_;
+  Time arrived_;
+  Time deadline_;
+
+  std::string body_;         // Request's body from `body_begin_` on.
+  size_t body_begin_ = 0;    // Bytes of the body that were dropped.
+  bool body_complete_ = false;
+
+  std::unique_ptr<Try> try_;
+  std::vector<EndpointPtr> tried_;
+  int sends_ = 0;
+  bool may_have_run_ = false;
+  bool answer_begun_ = false;
+  bool answer_chunked_ = false;
+  bool begun_ = false;
+  bool finished_ = false;
+  bool caller_gone_ = false;
+  bool deadline_extended_ = false;
+  double load_seen_ = 0;  // At the last placement.
+  std::unique_ptr<Watch> timer_;
+  std::unique_ptr<Watch> connect_timer_;
+};
+
+}  // namespace sassafras
+
+#endif  // GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/gossip.cc
@@ -0,0 +1,168 @@
+#include "gateway/gossip.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace sassafras {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kProtocolVersion = 1;
+// Largest datagram that is taken.
+constexpr size_t kMostBytes = 60 << 10;
+// Notices in one datagram, so that it stays well below kMostBytes.
+constexpr size_t kMostNotices = 400;
+
+// A notice as a list; the order of its items is the protocol's.
+Json ToItems(const HostNotice& it) {
+  return Json::array({it.id.value(), it.ip, it.caller_port, it.zone.value(),
+                      it.incarnation, it.beat, static_cast<int>(it.phase),
+                      it.config_version, it.cpu_share});
+}
+
+HostNotice FromItems(const Json& items) {
+  HostNotice it;
+  it.id = HostId(items.at(0).get<std::string>());
+  it.ip = items.at(1).get<std::string>();
+  it.caller_port = items.at(2).get<uint16_t>();
+  it.zone = ZoneId(items.at(3).get<std::string>());
+  it.incarnation = items.at(4).get<uint64_t>();
+  it.beat = items.at(5).get<uint64_t>();
+  const int phase = items.at(6).get<int>();
+  it.phase = phase >= 0 && phase <= static_cast<int>(HostPhase::kLeaving)
+                 ? static_cast<HostPhase>(phase)
+                 : HostPhase::kStarting;
+  it.config_version = items.at(7).get<uint64_t>();
+  it.cpu_share = items.at(8).get<double>();
+  return it;
+}
+
+sockaddr_in SockaddrOf(const std::string& ip, uint16_t port) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(port);
+  inet_pton(AF_INET, ip.c_str(), &out.sin_addr);
+  return out;
+}
+
+}  // namespace
+
+std::string EncodeNotices(const std::vector<HostNotice>& notices) {
+  Json items = Json::array();
+  for (const HostNotice& it : notices) {
+    if (items.size() < kMostNotices)
+      items.push_back(ToItems(it));
+  }
+  std::string out;
+  Json::to_cbor(Json::array({kProtocolVersion, std::move(items)}), out);
+  return out;
+}
+
+Result<std::vector<HostNotice>> DecodeNotices(std::string_view bytes) {
+  const auto fail = [](const std::string& reason) {
+    return leaf::new_error(
+        Error{ErrorCode::kBadInput, "decode gossip", "host", reason});
+  };
+  try {
+    const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+    if (json.at(0).get<int>() != kProtocolVersion)
+      return fail("another protocol version");
+    std::vector<HostNotice> out;
+    for (const Json& it : json.at(1))
+      out.push_back(FromItems(it));
+    return out;
+  } catch (const std::exception& e) {
+    return fail(e.what());
+  }
+}
+
+Result<void> Gossip::Start() {
+  socket_ =
+      Socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const sockaddr_in own =
+      SockaddrOf(state_.settings.ip, state_.settings.gossip_port);
+  if (::bind(socket_.fd(), reinterpret_cast<const sockaddr*>(&own),
+             sizeof(own)) != 0) {
+    return leaf::new_error(Error{
+        ErrorCode::kUnavailable, "bind gossip",
+        state_.settings.ip + ":" + std::to_string(state_.settings.gossip_port),
+        std::strerror(errno)});
+  }
+  readable_ = state_.loop.OnSocket(socket_.fd(), Ready::kRead,
+                                   [this](bool, bool) { OnReadable(); });
+  tick_ = state_.loop.Every(kGossipPeriod, [this] { OnTick(); });
+  OnTick();
+  return {};
+}
+
+void Gossip::OnReadable() {
+  static std::array<char, kMostBytes> buf;
+  for (;;) {
+    const ssize_t n = ::recv(socket_.fd(), buf.data(), buf.size(), 0);
+    if (n < 0)
+      return;
+    const auto notices = TryOr(
+        [&] { return DecodeNotices({buf.data(), static_cast<size_t>(n)}); },
+        [](const Error& e) {
+          LogLine(LogLevel::kWarning, "members", "Gossip is malformed.")
+              .With("reason", e.reason);
+          return std::vector<HostNotice>();
+        });
+    const Time now = state_.loop.Now();
+    for (const HostId& it : OnNotices(state_.members, notices, now)) {
+      LogLine(LogLevel::kInfo, "members", "Host is heard.").With("host", it);
+      UpdatePacing();
+    }
+  }
+}
+
+void Gossip::OnTick() {
+  UpdatePacing();
+  SendRound(NextRound(state_.members, state_.settings.seed_ips,
+                      state_.loop.Now()));
+}
+
+void Gossip::UpdatePacing() {
+  const Time now = state_.loop.Now();
+  state_.pacing.own_hash = HashText(state_.members.self.id.value());
+  state_.pacing.host_hashes = AliveHashes(state_.members, now);
+  const size_t alive = state_.pacing.host_hashes.size();
+  if (alive == alive_)
+    return;
+  LogLine(LogLevel::kInfo, "members", "Hosts alive changed.")
+      .With("alive", alive)
+      .With("before", alive_);
+  alive_ = alive;
+}
+
+void Gossip::Announce() {
+  SendRound(UrgentRound(state_.members, state_.loop.Now()));
+}
+
+void Gossip::SendRound(const GossipRound& round) {
+  const std::string bytes = EncodeNotices(round.notices);
+  for (const std::string& ip : round.to_ips) {
+    const sockaddr_in to = SockaddrOf(ip, state_.settings.gossip_port);
+    const ssize_t n =
+        ::sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                 reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    // The next round makes up for what a full buffer or a lost route drops.
+    if (n < 0)
+      state_.metrics.Count("gateway_gossip_unsent_total", "");
+  }
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/gateway/gossip.h
@@ -0,0 +1,46 @@
+// Gossip between hosts: CBOR datagrams on one UDP port.
+//
+// Datagrams rather than the connections of src/peers: a round goes to other
+// hosts each time, and a lost one is made up for by the next.
+#ifndef GATEWAY_GOSSIP_H_
+#define GATEWAY_GOSSIP_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/gateway_state.h"
+
+namespace sassafras {
+
+// One datagram of notices.
+std::string EncodeNotices(const std::vector<HostNotice>& notices);
+Result<std::vector<HostNotice>> DecodeNotices(std::string_view bytes);
+
+class Gossip {
+ public:
+  explicit Gossip(GatewayState& state) : state_(state) {}
+  Gossip(const Gossip&) = delete;
+  Gossip& operator=(const Gossip&) = delete;
+
+  Result<void> Start();
+  // Tells all hosts of a change of this one.
+  void Announce();
+
+ private:
+  void OnReadable();
+  void OnTick();
+  void SendRound(const GossipRound& round);
+  void UpdatePacing();
+
+  GatewayState& state_;
+  Socket socket_;
+  std::unique_ptr<Watch> readable_;
+  std::unique_ptr<Watch> tick_;
+  size_t alive_ = 1;
+};
+
+}  // namespace sassafras
+
+#endif  // GATEWAY_GOSSIP_H_
--- /dev/null
+++ b/src/gateway/state_dump.cc
@@ -0,0 +1,58 @@
+#include "gateway/state_dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sassafras {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json DumpEndpoint(const Endpoint& it, Time now) {
+  return Json{{"id", it.record.id},
+              {"service", it.record.service},
+              {"zone", it.record.zone},
+              {"address", it.record.address.ToString()},
+              {"state", NameOf(it.state)},
+              {"state_age_ms", Millis(now - it.state_since)},
+              {"is_cold", IsCold(it, now)},
+              {"in_flight", it.in_flight},
+              {"estimated_load", EstimatedLoad(it, now)},
+              {"report_age_ms", it.has_report ? Millis(now - it.report.at) : -1},
+              {"failures_in_row", it.failures_in_row},
+              {"is_ejected", now < it.ejected_until}};
+}
+
+Json DumpMember(const Member& it, Time now) {
+  return Json{{"id", it.notice.id},
+              {"ip", it.notice.ip},
+              {"zone", it.notice.zone},
+              {"phase", NameOf(it.notice.phase)},
+              {"config", it.notice.config_version},
+              {"heard_ms_ago", Millis(now - it.heard)},
+              {"is_alive", IsAlive(it, now)}};
+}
+
+}  // namespace
+
+std::string DumpGateway(const GatewayState& state) {
+  const Time now = state.loop.Now();
+  Json json;
+  json["host"] = state.settings.host;
+  json["phase"] = NameOf(state.members.self.phase);
+  json["config"] = state.config ? state.config->version : 0;
+  json["open_exchanges"] = state.open_exchanges;
+  json["kept_connections"] = state.pool.size();
+  json["endpoints"] = Json::array();
+  for (const auto& [id, endpoint] : state.endpoints.by_id)
+    json["endpoints"].push_back(DumpEndpoint(*endpoint, now));
+  json["evacuated"] = Json::array();
+  for (const ZoneId& it : state.endpoints.evacuated)
+    json["evacuated"].push_back(it);
+  json["members"] = Json::array();
+  for (const auto& [id, member] : state.members.others)
+    json["members"].push_back(DumpMember(member, now));
+  return json.dump();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/gateway/stream.cc
@@ -0,0 +1,219 @@
+#include "gateway/stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+constexpr size_t kReadBytes = 32 << 10;
+// Reads in one turn of the loop, so that one connection cannot hold it.
+constexpr int kReadsPerTurn = 4;
+// How long a peer may go on sending after its connection was closed.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+// A peer that acknowledges nothing for this long is taken as vanished.
+constexpr int kSilenceMs = 2500;
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+void SetOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void DetectSilence(int fd) {
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kSilenceMs);
+}
+
+bool IsTransient(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+}  // namespace
+
+Stream::Stream(Loop& loop, Socket socket, bool connected)
+    : loop_(loop), socket_(std::move(socket)), connected_(connected) {}
+
+std::shared_ptr<Stream> Stream::Adopt(Loop& loop, Socket socket) {
+  DetectSilence(socket.fd());
+  return std::make_shared<Stream>(loop, std::move(socket), true);
+}
+
+Result<std::shared_ptr<Stream>> Stream::Connect(Loop& loop,
+                                                const Address& address,
+                                                const std::string& from_ip) {
+  BOOST_LEAF_AUTO(socket, StartConnect(address, from_ip));
+  DetectSilence(socket.fd());
+  return std::make_shared<Stream>(loop, std::move(socket), false);
+}
+
+void Stream::Start(Handlers handlers) {
+  handlers_ = std::move(handlers);
+  Watch();
+}
+
+void Stream::Watch() {
+  if (!socket_.valid()) {
+    watch_.reset();
+    return;
+  }
+  const bool write = !connected_ || pending() > 0;
+  const bool read = connected_ && reading_;
+  if (watch_ && write == watches_write_ && read == watches_read_)
+    return;
+  watches_write_ = write;
+  watches_read_ = read;
+  // The old watch goes first: a descriptor has one watch at a time.
+  watch_.reset();
+  if (!read && !write)
+    return;
+  const Ready ready = read && write ? Ready::kReadWrite
+                      : read        ? Ready::kRead
+                                    : Ready::kWrite;
+  watch_ = loop_.OnSocket(socket_.fd(), ready,
+                          [weak = weak_from_this()](bool in, bool out) {
+                            if (const auto self = weak.lock())
+                              self->OnReady(in, out);
+                          });
+}
+
+void Stream::OnReady(bool readable, bool writable) {
+  const auto self = shared_from_this();
+  if (!connected_) {
+    OnConnectDone();
+    return;
+  }
+  if (writable)
+    Flush();
+  if (readable && socket_.valid())
+    ReadSome();
+}
+
+void Stream::OnConnectDone() {
+  if (!IsConnected(socket_)) {
+    End(StreamEnd::kRefused);
+    return;
+  }
+  connected_ = true;
+  const auto on_connected = handlers_.on_connected;
+  if (on_connected)
+    on_connected();
+  if (socket_.valid())
+    Flush();
+}
+
+void Stream::ReadSome() {
+  // One thread runs the loop, and no handler reads in turn.
+  static std::array<char, kReadBytes> buf;
+  for (int i = 0; i < kReadsPerTurn && socket_.valid() && reading_; ++i) {
+    const ssize_t n = ::recv(socket_.fd(), buf.data(), buf.size(), 0);
+    if (n < 0 && IsTransient(errno))
+      return;
+    if (n < 0) {
+      End(StreamEnd::kReset);
+      return;
+    }
+    if (n == 0) {
+      End(StreamEnd::kClosed);
+      return;
+    }
+    if (!closing_ && handlers_.on_data) {
+      const auto on_data = handlers_.on_data;
+      on_data({buf.data(), static_cast<size_t>(n)});
+    }
+    if (static_cast<size_t>(n) < buf.size())
+      return;
+  }
+}
+
+void Stream::Write(std::string_view data) {
+  if (!socket_.valid() || closing_)
+    return;
+  out_.append(data);
+  if (connected_)
+    Flush();
+}
+
+void Stream::Flush() {
+  while (pending() > 0) {
+    const ssize_t n = ::send(socket_.fd(), out_.data() + out_begin_, pending(),
+                             MSG_NOSIGNAL);
+    if (n < 0 && IsTransient(errno))
+      break;
+    if (n < 0) {
+      // Reported on a later turn: the caller is in the middle of a write.
+      loop_.Post([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+          self->End(StreamEnd::kReset);
+      });
+      out_.clear();
+      out_begin_ = 0;
+      return;
+    }
+    has_sent_ = true;
+    out_begin_ += static_cast<size_t>(n);
+  }
+  if (pending() > 0) {
+    Watch();
+    return;
+  }
+  const bool drained = out_begin_ > 0;
+  out_.clear();
+  out_begin_ = 0;
+  if (closing_)
+    ::shutdown(socket_.fd(), SHUT_WR);
+  Watch();
+  const auto on_drained = handlers_.on_drained;
+  if (drained && on_drained && !closing_)
+    on_drained();
+}
+
+void Stream::SetReading(bool reading) {
+  if (reading == reading_)
+    return;
+  reading_ = reading;
+  Watch();
+}
+
+void Stream::End(StreamEnd end) {
+  if (!socket_.valid() || ended_)
+    return;
+  ended_ = true;
+  const auto on_end = std::exchange(handlers_, {}).on_end;
+  const bool tell = !closing_;
+  Close();
+  if (tell && on_end)
+    on_end(end);
+}
+
+void Stream::Close() {
+  handlers_ = {};
+  watch_.reset();
+  linger_.reset();
+  socket_.Close();
+}
+
+void Stream::CloseGracefully() {
+  if (!socket_.valid() || closing_)
+    return;
+  closing_ = true;
+  reading_ = true;
+  handlers_ = {};
+  // Keeps itself alive until the peer closes or the time is up.
+  linger_ = loop_.After(kLingerTime,
+                        [self = shared_from_this()] { self->Close(); });
+  if (connected_)
+    Flush();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/http1/http1.cc
@@ -0,0 +1,230 @@
+#include "http1/http1.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+constexpr std::array<std::string_view, 8> kConnectionFields = {
+    "connection",       "keep-alive", "transfer-encoding", "content-length",
+    "proxy-connection", "te",         "trailer",           "upgrade"};
+
+std::string ToText(string_view text) {
+  return {text.data(), text.size()};
+}
+
+template <bool is_request>
+class ReaderImpl : public HttpReader, private http::basic_parser<is_request> {
+  using Parser = http::basic_parser<is_request>;
+
+ public:
+  ReaderImpl(const HttpReadLimits& limits, bool no_body) {
+    Parser::header_limit(static_cast<uint32_t>(limits.head_bytes));
+    Parser::body_limit(limits.body_bytes);
+    Parser::eager(true);
+    if constexpr (!is_request)
+      Parser::skip(no_body);
+  }
+
+  size_t Read(std::string_view input) override {
+    size_t taken = 0;
+    while (taken < input.size() && !Parser::is_done() && !IsBroken()) {
+      error_code ec;
+      const size_t n = Parser::put(
+          boost::asio::const_buffer(input.data() + taken, input.size() - taken),
+          ec);
+      taken += n;
+      if (ec == http::error::need_more)
+        break;
+      if (ec)
+        SetBroken(ec);
+      if (n == 0)
+        break;
+    }
+    Advance();
+    return taken;
+  }
+
+  void ReadEnd() override {
+    if (Parser::is_done() || IsBroken())
+      return;
+    if (!Parser::is_header_done()) {
+      state_ = HttpReadState::kMalformed;
+      return;
+    }
+    error_code ec;
+    Parser::put_eof(ec);
+    if (ec)
+      SetBroken(ec);
+    Advance();
+  }
+
+  HttpReadState state() const override { return state_; }
+  const HttpHead& head() const override { return head_; }
+  bool has_started() const override { return Parser::got_some(); }
+  std::string TakeBody() override { return std::exchange(body_, {}); }
+
+ private:
+  bool IsBroken() const {
+    return state_ != HttpReadState::kHead && state_ != HttpReadState::kBody;
+  }
+
+  void SetBroken(const error_code& ec) {
+    if (ec == http::error::header_limit)
+      state_ = HttpReadState::kHeadTooLarge;
+    else if (ec == http::error::body_limit)
+      state_ = HttpReadState::kBodyTooLarge;
+    else
+      state_ = HttpReadState::kMalformed;
+  }
+
+  void Advance() {
+    if (IsBroken())
+      return;
+    if (Parser::is_done())
+      state_ = HttpReadState::kComplete;
+    else if (Parser::is_header_done())
+      state_ = HttpReadState::kBody;
+  }
+
+  void on_request_impl(http::verb,
+                       string_view method,
+                       string_view target,
+                       int,
+                       error_code&) override {
+    head_.method = ToText(method);
+    head_.target = ToText(target);
+  }
+
+  void on_response_impl(int status,
+                        string_view reason,
+                        int,
+                        error_code&) override {
+    head_.status = status;
+    head_.reason = ToText(reason);
+  }
+
+  void on_field_impl(http::field,
+                     string_view name,
+                     string_view value,
+                     error_code&) override {
+    head_.fields.push_back({ToText(name), ToText(value)});
+  }
+
+  void on_header_impl(error_code&) override {
+    head_.keep_alive = Parser::keep_alive();
+    head_.chunked = Parser::chunked();
+    if (const auto n = Parser::content_length())
+      head_.content_length = *n;
+  }
+
+  void on_body_init_impl(const boost::optional<uint64_t>&,
+                         error_code&) override {}
+
+  size_t on_body_impl(string_view body, error_code&) override {
+    body_.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_chunk_header_impl(uint64_t, string_view, error_code&) override {}
+
+  size_t on_chunk_body_impl(uint64_t,
+                            string_view body,
+                            error_code&) override {
+    body_.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_finish_impl(error_code&) override {}
+
+  HttpReadState state_ = HttpReadState::kHead;
+  HttpHead head_;
+  std::string body_;
+};
+
+void AppendFields(std::string& out, const HttpFields& fields) {
+  for (const HttpField& it : fields) {
+    out += it.name;
+    out += ": ";
+    out += it.value;
+    out += "\r\n";
+  }
+  out += "\r\n";
+}
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return std::tolower(static_cast<unsigned char>(x)) ==
+                  std::tolower(static_cast<unsigned char>(y));
+         });
+}
+
+const std::string* FindField(const HttpFields& fields, std::string_view name) {
+  for (const HttpField& it : fields) {
+    if (EqualsIgnoringCase(it.name, name))
+      return &it.value;
+  }
+  return nullptr;
+}
+
+bool IsConnectionField(std::string_view name) {
+  return std::any_of(
+      kConnectionFields.begin(), kConnectionFields.end(),
+      [&](std::string_view it) { return EqualsIgnoringCase(it, name); });
+}
+
+std::unique_ptr<HttpReader> NewRequestReader(const HttpReadLimits& limits) {
+  return std::make_unique<ReaderImpl<true>>(limits, false);
+}
+
+std::unique_ptr<HttpReader> NewAnswerReader(const HttpReadLimits& limits,
+                                            bool to_head_request) {
+  return std::make_unique<ReaderImpl<false>>(limits, to_head_request);
+}
+
+std::string FormatRequestHead(std::string_view method,
+                              std::string_view target,
+                              const HttpFields& fields) {
+  std::string out(method);
+  out += ' ';
+  out += target;
+  out += " HTTP/1.1\r\n";
+  AppendFields(out, fields);
+  return out;
+}
+
+std::string FormatAnswerHead(int status, const HttpFields& fields) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + ' ';
+  const string_view reason =
+      http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  out.append(reason.data(), reason.size());
+  out += "\r\n";
+  AppendFields(out, fields);
+  return out;
+}
+
+std::string FormatChunk(std::string_view data) {
+  std::array<char, 20> size{};
+  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  std::string out(size.data(), static_cast<size_t>(n));
+  out += data;
+  out += "\r\n";
+  return out;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/routing/admission.h
@@ -0,0 +1,58 @@
+// Whether a request is let in, and when a refused caller should come back.
+//
+// Answers to: services that are asked for more than their endpoints can do. A
+// request that cannot be answered in its time is refused at once.
+#ifndef ROUTING_ADMISSION_H_
+#define ROUTING_ADMISSION_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace sassafras {
+
+// Times that endpoints of a service took lately, for one route.
+struct ServiceTimes {
+  double mean_seconds = 0;
+  size_t samples = 0;
+};
+
+struct AdmissionState {
+  std::unordered_map<std::string, ServiceTimes> by_route;
+  std::unordered_map<ServiceId, ServiceTimes> by_service;
+};
+
+// Records the time from sending a request to its answer's head.
+void OnServiceTime(AdmissionState& state,
+                   const ServiceId& service,
+                   const std::string& route,
+                   Duration time);
+
+struct AdmissionRequest {
+  const ServiceId* service = nullptr;
+  const std::string* route = nullptr;
+  double load = 0;  // Requests on the endpoint that was chosen.
+  int slots = 1;
+  Duration time_left{};
+};
+
+struct AdmissionVerdict {
+  bool admitted = true;
+  Duration expected_wait{};
+  Duration retry_after{};  // Valid if not admitted.
+};
+
+AdmissionVerdict Admit(const AdmissionState& state,
+                       const AdmissionRequest& request);
+
+// When a caller of `service` should come back that found no endpoint or only
+// full ones. `random` spreads the callers.
+Duration RetryAfter(const AdmissionState& state,
+                    const ServiceId& service,
+                    double random);
+
+}  // namespace sassafras
+
+#endif  // ROUTING_ADMISSION_H_
--- /dev/null
+++ b/src/routing/endpoint_set.cc
@@ -0,0 +1,223 @@
+#include "routing/endpoint_set.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace sassafras {
+
+namespace {
+
+constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
+constexpr Duration kLongestEjection = std::chrono::seconds(4);
+constexpr int kMostDoublings = 3;
+// A single failure may be the request's fault.
+constexpr int kFailuresToEject = 2;
+// A report says little about an endpoint's load after this time.
+constexpr Duration kReportLifetime = std::chrono::milliseconds(1500);
+
+void AddToService(EndpointSet& set, const EndpointPtr& endpoint) {
+  set.by_service[endpoint->record.service].push_back(endpoint);
+}
+
+void RemoveFromService(EndpointSet& set, const EndpointPtr& endpoint) {
+  auto& list = set.by_service[endpoint->record.service];
+  list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
+}
+
+EndpointChange SetState(const EndpointPtr& endpoint,
+                        EndpointState state,
+                        Time now) {
+  EndpointChange change{endpoint, endpoint->state, false};
+  endpoint->state = state;
+  endpoint->state_since = now;
+  return change;
+}
+
+// Forgets the endpoint; requests on it keep their own reference.
+EndpointChange Drop(EndpointSet& set, const EndpointPtr& endpoint, Time now) {
+  const EndpointChange change = SetState(endpoint, EndpointState::kGone, now);
+  RemoveFromService(set, endpoint);
+  set.by_id.erase(endpoint->record.id);
+  return change;
+}
+
+EndpointPtr MakeEndpoint(const EndpointRecord& record, Time now) {
+  auto endpoint = std::make_shared<Endpoint>();
+  endpoint->record = record;
+  endpoint->hash = HashText(record.id.value());
+  endpoint->state =
+      record.draining ? EndpointState::kDraining : EndpointState::kReady;
+  endpoint->state_since = now;
+  endpoint->warm_at = now + record.warmup_left;
+  return endpoint;
+}
+
+bool IsSameIncarnation(const EndpointRecord& a, const EndpointRecord& b) {
+  return a.born_ms == b.born_ms && a.address == b.address &&
+         a.service == b.service;
+}
+
+EndpointChange Lapse(EndpointSet& set, const EndpointPtr& endpoint, Time now) {
+  const bool answers = now - endpoint->last_success < kRecentSuccess;
+  if (now >= set.registry_unreliable_until || !answers ||
+      endpoint->state == EndpointState::kDraining)
+    return Drop(set, endpoint, now);
+  return SetState(endpoint, EndpointState::kMissing, now);
+}
+
+}  // namespace
+
+std::vector<EndpointChange> ApplyRecord(EndpointSet& set,
+                                        const EndpointRecord& record,
+                                        Time now) {
+  std::vector<EndpointChange> changes;
+  const auto it = set.by_id.find(record.id);
+  if (it != set.by_id.end() &&
+      !IsSameIncarnation(it->second->record, record)) {
+    // An older incarnation's record may arrive behind the newer one's.
+    if (record.born_ms < it->second->record.born_ms)
+      return changes;
+    changes.push_back(Drop(set, EndpointPtr(it->second), now));
+  }
+  const auto known = set.by_id.find(record.id);
+  if (known == set.by_id.end()) {
+    const EndpointPtr endpoint = MakeEndpoint(record, now);
+    set.by_id[record.id] = endpoint;
+    AddToService(set, endpoint);
+    changes.push_back({endpoint, endpoint->state, true});
+    return changes;
+  }
+  const EndpointPtr endpoint = known->second;
+  endpoint->record = record;
+  endpoint->warm_at = now + record.warmup_left;
+  const EndpointState state =
+      record.draining ? EndpointState::kDraining : EndpointState::kReady;
+  if (state != endpoint->state)
+    changes.push_back(SetState(endpoint, state, now));
+  return changes;
+}
+
+std::vector<EndpointChange> ApplyRemoval(EndpointSet& set,
+                                         const EndpointId& id,
+                                         Time now) {
+  const auto it = set.by_id.find(id);
+  if (it == set.by_id.end())
+    return {};
+  return {Lapse(set, EndpointPtr(it->second), now)};
+}
+
+std::vector<EndpointChange> ApplyList(
+    EndpointSet& set,
+    const std::vector<EndpointRecord>& records,
+    Time now) {
+  std::vector<EndpointChange> changes;
+  std::set<EndpointId> listed;
+  for (const EndpointRecord& it : records) {
+    listed.insert(it.id);
+    for (EndpointChange& change : ApplyRecord(set, it, now))
+      changes.push_back(std::move(change));
+  }
+  std::vector<EndpointPtr> lapsed;
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (listed.count(id) == 0 && endpoint->state != EndpointState::kMissing)
+      lapsed.push_back(endpoint);
+  }
+  for (const EndpointPtr& it : lapsed)
+    changes.push_back(Lapse(set, it, now));
+  return changes;
+}
+
+void MarkRegistryUnreliable(EndpointSet& set, Time now) {
+  set.registry_unreliable_until =
+      std::max(set.registry_unreliable_until, now + kRecordReturnTime);
+}
+
+std::vector<EndpointChange> DropMissing(EndpointSet& set, Time now) {
+  std::vector<EndpointChange> changes;
+  if (now < set.registry_unreliable_until)
+    return changes;
+  std::vector<EndpointPtr> missing;
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (endpoint->state == EndpointState::kMissing)
+      missing.push_back(endpoint);
+  }
+  for (const EndpointPtr& it : missing)
+    changes.push_back(Drop(set, it, now));
+  return changes;
+}
+
+void SetEvacuated(EndpointSet& set, const ZoneId& zone) {
+  set.evacuated.insert(zone);
+}
+
+void EndEvacuation(EndpointSet& set,
+                   const ZoneId& zone,
+                   Duration warmup,
+                   Time now) {
+  if (set.evacuated.erase(zone) == 0)
+    return;
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (endpoint->record.zone == zone)
+      endpoint->warm_at = std::max(endpoint->warm_at, now + warmup);
+  }
+}
+
+bool IsUsable(const EndpointSet& set, const Endpoint& endpoint, Time now) {
+  if (endpoint.state == EndpointState::kDraining ||
+      endpoint.state == EndpointState::kGone)
+    return false;
+  if (set.evacuated.count(endpoint.record.zone) > 0)
+    return false;
+  return endpoint.state != EndpointState::kMissing ||
+         now - endpoint.last_success < kRecentSuccess;
+}
+
+void OnSent(Endpoint& endpoint) {
+  ++endpoint.in_flight;
+  ++endpoint.sent_since_report;
+}
+
+void OnEnded(Endpoint& endpoint) {
+  --endpoint.in_flight;
+  ++endpoint.ended_since_report;
+}
+
+void OnReport(Endpoint& endpoint, const LoadReport& report) {
+  endpoint.report = report;
+  endpoint.has_report = true;
+  endpoint.sent_since_report = 0;
+  endpoint.ended_since_report = 0;
+}
+
+void OnSuccess(Endpoint& endpoint, Time now) {
+  endpoint.failures_in_row = 0;
+  endpoint.last_success = now;
+}
+
+void OnFailure(Endpoint& endpoint, Time now) {
+  ++endpoint.failures_in_row;
+  if (endpoint.failures_in_row < kFailuresToEject)
+    return;
+  const int doublings = std::min(endpoint.failures_in_row - kFailuresToEject,
+                                 kMostDoublings);
+  endpoint.ejected_until =
+      now + std::min(kFirstEjection * (1 << doublings), kLongestEjection);
+}
+
+double EstimatedLoad(const Endpoint& endpoint, Time now) {
+  const double own = endpoint.in_flight;
+  if (!endpoint.has_report)
+    return own;
+  const Duration age = now - endpoint.report.at;
+  if (age >= kReportLifetime)
+    return own;
+  const double fresh = 1.0 - Seconds(age) / Seconds(kReportLifetime);
+  const double reported = endpoint.report.running + endpoint.report.waiting +
+                          endpoint.sent_since_report -
+                          endpoint.ended_since_report;
+  return std::max(own, reported * fresh);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/routing/host_members.h
@@ -0,0 +1,109 @@
+// Which hosts of the system are alive, by gossip.
+//
+// Each host counts its own heartbeats and sends what it knows of all hosts to
+// a few of them at a time. A host whose count stands still is taken as gone.
+// Nothing here reads the wall clock of another host.
+#ifndef ROUTING_HOST_MEMBERS_H_
+#define ROUTING_HOST_MEMBERS_H_
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/names_table.h"
+#include "base/time.h"
+
+namespace sassafras {
+
+enum class HostPhase {
+  kStarting,  // Not yet able to serve.
+  kReady,
+  kLeaving,  // Finishes what it has; gets no new callers.
+};
+
+template <>
+struct NamesTable<HostPhase> {
+  static constexpr EnumName<HostPhase> kNames[] = {
+      {HostPhase::kStarting, "starting"},
+      {HostPhase::kReady, "ready"},
+      {HostPhase::kLeaving, "leaving"},
+  };
+};
+
+// What a host says of itself.
+struct HostNotice {
+  HostId id;
+  std::string ip;
+  uint16_t caller_port = 0;
+  ZoneId zone;
+  uint64_t incarnation = 0;  // Grows with each start under the same id.
+  uint64_t beat = 0;         // Grows with each heartbeat of an incarnation.
+  HostPhase phase = HostPhase::kStarting;
+  uint64_t config_version = 0;
+  // Share of a core that the host has; weighs how many callers it gets.
+  double cpu_share = 0;
+};
+
+struct Member {
+  HostNotice notice;
+  Time heard;  // When its count last grew, or was first seen.
+};
+
+struct HostMembers {
+  HostNotice self;
+  std::unordered_map<HostId, Member> others;
+  std::mt19937_64 random;
+};
+
+inline constexpr Duration kGossipPeriod = std::chrono::milliseconds(400);
+// Hosts that one round of gossip goes to.
+inline constexpr size_t kGossipFanout = 3;
+// A host whose count has not grown for this long is taken as gone: several
+// rounds, so that lost datagrams do not remove a host.
+inline constexpr Duration kHostSilence = std::chrono::milliseconds(3000);
+// A silent host is still greeted now and then until it is forgotten.
+inline constexpr Duration kHostForgotten = std::chrono::seconds(60);
+
+// What one round sends: the notices to these IP numbers.
+struct GossipRound {
+  std::vector<std::string> to_ips;
+  std::vector<HostNotice> notices;
+};
+
+// A new round: counts the own heartbeat. `seed_ips` are greeted as long as
+// they are unknown.
+GossipRound NextRound(HostMembers& members,
+                      const std::vector<std::string>& seed_ips,
+                      Time now);
+
+// A round to every known host, for a change that must not wait.
+GossipRound UrgentRound(HostMembers& members, Time now);
+
+// A member whose presence changed, for the log.
+struct MemberChange {
+  HostId id;
+  bool is_back = false;
+};
+
+// Takes notices that another host sent.
+std::vector<HostId> OnNotices(HostMembers& members,
+                              const std::vector<HostNotice>& notices,
+                              Time now);
+
+// A host that another source names, such as the registry of hosts.
+void Introduce(HostMembers& members, const HostNotice& notice, Time now);
+
+bool IsAlive(const Member& member, Time now);
+
+// Hosts that are alive, this one among them.
+size_t CountAlive(const HostMembers& members, Time now);
+
+// Hashes of the ids of all hosts that are alive, this one among them.
+std::vector<uint64_t> AliveHashes(const HostMembers& members, Time now);
+
+}  // namespace sassafras
+
+#endif  // ROUTING_HOST_MEMBERS_H_
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/address.h"
@@ -26,10 +27,30 @@
 
   // Lists the kind and then follows its changes until the Watch is
   // destroyed. `on_objects(objects, complete)` gets the whole list with
-  // `complete`, then changes; after an interruption a whole list again.
+  // `complete`, then changes; after an interruption possibly a whole list
+  // again. An object that was removed has revision zero.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
       std::function<void(std::vector<StoreObject>, bool)> on_objects) = 0;
+
+  // Called when the store stops or begins to answer this process.
+  void set_on_reachable(std::function<void(bool)> fn) {
+    on_reachable_ = std::move(fn);
+  }
+
+ protected:
+  // Reports whether a call was answered; tells the subscriber of changes.
+  void SetReachable(bool reachable) {
+    if (reachable == is_reachable_)
+      return;
+    is_reachable_ = reachable;
+    if (on_reachable_)
+      on_reachable_(reachable);
+  }
+
+ private:
+  bool is_reachable_ = true;
+  std::function<void(bool)> on_reachable_;
 };
 
 // A client of the store at `address`.
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -1,5 +1,3 @@
-#include <curl/curl.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -21,50 +19,6 @@
 // A watch without any event is opened again after this time.
 constexpr std::chrono::seconds kWatchTime{30};
 
-// One HTTP exchange; it lives until its driver reports the end.
-struct Transfer {
-  CURL* easy = curl_easy_init();
-  curl_slist* headers = nullptr;
-  std::string request;
-  std::string response;
-  std::function<void(std::string_view)> on_data;  // Instead of `response`.
-
-  Transfer() = default;
-  Transfer(const Transfer&) = delete;
-  Transfer& operator=(const Transfer&) = delete;
-  ~Transfer() {
-    curl_slist_free_all(headers);
-    curl_easy_cleanup(easy);
-  }
-
-  long Status() const {
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    return status;
-  }
-};
-
-size_t OnBody(char* data, size_t size, size_t count, void* self) {
-  auto* transfer = static_cast<Transfer*>(self);
-  const std::string_view text(data, size * count);
-  if (transfer->on_data)
-    transfer->on_data(text);
-  else
-    transfer->response.append(text);
-  return size * count;
-}
-
-std::shared_ptr<Transfer> MakeTransfer(const std::string& url) {
-  auto transfer = std::make_shared<Transfer>();
-  CURL* easy = transfer->easy;
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  return transfer;
-}
-
 StoreObject ObjectOf(const Json& json) {
   StoreObject object;
   object.kind = json.at("kind").get<std::string>();
@@ -94,7 +48,7 @@
   return code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST;
 }
 
-StoreReply ReplyOf(const Transfer& transfer, CURLcode code, bool is_write) {
+StoreReply ReplyOf(const HttpTransfer& transfer, CURLcode code, bool is_write) {
   StoreReply reply;
   const long status = transfer.Status();
   const StoreStatus lost =
@@ -157,7 +111,7 @@
   uint64_t revision_ = 0;
   std::string buffer_;
   bool broken_ = false;
-  std::shared_ptr<Transfer> transfer_;
+  std::shared_ptr<HttpTransfer> transfer_;
   std::unique_ptr<Watch> pause_;
   Duration next_pause_ = kFirstPause;
 };
@@ -181,22 +135,14 @@
   }
 
   void PutIf(const StorePut& put, Done done) override {
-    auto transfer = MakeTransfer(base_ + put.kind + "/" + put.name);
+    auto transfer = MakeHttpTransfer(base_ + put.kind + "/" + put.name);
     Json body = {
         {"kind", put.kind},
         {"metadata",
          {{"name", put.name},
           {"resourceVersion", std::to_string(put.expected_revision)}}}};
     body["spec"] = Json::parse(put.value, nullptr, false);
-    transfer->request = body.dump();
-    CURL* easy = transfer->easy;
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->request.c_str());
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
-                     static_cast<long>(transfer->request.size()));
-    transfer->headers =
-        curl_slist_append(nullptr, "Content-Type: application/json");
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    transfer->SetJson("PUT", body.dump());
     Start(std::move(transfer), true, std::move(done));
   }
 
@@ -210,12 +156,11 @@
 
  private:
   void Read(const std::string& path, Done done) {
-    Start(MakeTransfer(base_ + path), false, std::move(done));
+    Start(MakeHttpTransfer(base_ + path), false, std::move(done));
   }
 
-  void Start(std::shared_ptr<Transfer> transfer, bool is_write, Done done) {
-    curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(timeout_.count()));
+  void Start(std::shared_ptr<HttpTransfer> transfer, bool is_write, Done done) {
+    transfer->SetTimeout(timeout_);
     CURL* easy = transfer->easy;
     driver_.Add(easy, [transfer = std::move(transfer), is_write,
                        done = std::move(done)](CURLcode code) {
@@ -236,9 +181,8 @@
 
 void Follower::ReadList() {
   pause_.reset();
-  transfer_ = MakeTransfer(client_.base() + kind_);
-  curl_easy_setopt(transfer_->easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(client_.timeout().count()));
+  transfer_ = MakeHttpTransfer(client_.base() + kind_);
+  transfer_->SetTimeout(client_.timeout());
   client_.driver().Add(transfer_->easy,
                        [weak = weak_from_this()](CURLcode code) {
                          const auto self = weak.lock();
@@ -274,12 +218,11 @@
   buffer_.clear();
   broken_ = false;
   transfer_ =
-      MakeTransfer(client_.base() + kind_ +
+      MakeHttpTransfer(client_.base() + kind_ +
                    "?watch=1&resourceVersion=" + std::to_string(revision_) +
                    "&timeoutSeconds=" + std::to_string(kWatchTime.count()));
-  constexpr long kMargin = 5;
-  curl_easy_setopt(transfer_->easy, CURLOPT_TIMEOUT,
-                   static_cast<long>(kWatchTime.count()) + kMargin);
+  constexpr std::chrono::seconds kMargin(5);
+  transfer_->SetTimeout(kWatchTime + kMargin);
   transfer_->on_data = [this](std::string_view data) { TakeData(data); };
   client_.driver().Add(
       transfer_->easy, [weak = weak_from_this()](CURLcode code) {
