--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// A connection that is not up by then is tried anew: a lost opening packet is
+// sent again only after seconds.
+constexpr long kConnectTimeoutMs = 600;
 // Probes that a silent peer may leave unanswered.
 constexpr int kSilentProbes = 2;
 
@@ -87,6 +90,7 @@
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
   return transfer;
 }
 
