--- a/src/app/entry_process.cc
+++ b/src/app/entry_process.cc
@@ -241,8 +241,9 @@
     for (const DocumentKind kind : kAllDocumentKinds) {
       followers_.push_back(store_->Follow(
           std::string(NameOf(kind)),
-          [this, kind](std::vector<StoreObject> objects, bool complete) {
-            Feed(StoreObjects{kind, std::move(objects), complete});
+          [this, kind](StoreChange change) {
+            Feed(StoreObjects{kind, std::move(change.objects),
+                              change.complete});
           }));
     }
   }
--- a/src/base/socket.cc
+++ b/src/base/socket.cc
@@ -16,6 +16,26 @@
 namespace {
 
 constexpr int kBacklog = 512;
+// A peer that acknowledges nothing for this long is taken as vanished.
+constexpr int kSilenceMs = 2500;
+// Probes of an idle connection: the first after, then every, and how many may
+// go unanswered.
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+void SetOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+// A host that loses power or is cut off resets nothing: only probes show it.
+void DetectSilence(int fd) {
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kSilenceMs);
+}
 
 sockaddr_in SockaddrOf(const Address& address) {
   sockaddr_in out{};
@@ -33,9 +53,8 @@
 Socket NewSocket() {
   Socket socket(
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  SetOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(socket.fd(), SOL_SOCKET, SO_REUSEADDR, 1);
   return socket;
 }
 
@@ -62,14 +81,13 @@
                             const std::string& from_ip) {
   Socket socket = NewSocket();
   if (!from_ip.empty()) {
-    const int on = 1;
-    setsockopt(socket.fd(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
-               sizeof(on));
+    SetOption(socket.fd(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
     const sockaddr_in from = SockaddrOf({from_ip, 0});
     const auto* raw_from = reinterpret_cast<const sockaddr*>(&from);
     if (::bind(socket.fd(), raw_from, sizeof(from)) != 0)
       return Fail("bind", {from_ip, 0});
   }
+  DetectSilence(socket.fd());
   const sockaddr_in to = SockaddrOf(address);
   const auto* raw = reinterpret_cast<const sockaddr*>(&to);
   if (::connect(socket.fd(), raw, sizeof(to)) != 0 && errno != EINPROGRESS)
@@ -81,8 +99,8 @@
   Socket socket(
       ::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (socket.valid()) {
-    const int on = 1;
-    setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    SetOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY, 1);
+    DetectSilence(socket.fd());
   }
   return socket;
 }
--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -186,6 +186,23 @@
                                    refused,
                                    records)
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefFollow, epoch, sequence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefItem,
+                                   kind,
+                                   name,
+                                   revision,
+                                   removed,
+                                   value)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefPosition, kind, as_of)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefPush,
+                                   epoch,
+                                   from,
+                                   sequence,
+                                   complete,
+                                   doubt_ms,
+                                   items,
+                                   positions)
+
 // Reads a document's payload; an error names the document and the fault.
 template <typename T>
 Result<T> ReadPayload(const std::string& payload, const std::string& name) {
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -330,6 +330,44 @@
   std::vector<RecordRevision> records;
 };
 
+// Asks a relay for the store's objects behind a position in its log; repeated
+// as a sign of life.
+struct BeliefFollow {
+  static constexpr char kName[] = "belief_follow";
+  uint64_t epoch = 0;     // Of the relay's log; zero: nothing is known yet.
+  uint64_t sequence = 0;  // Position up to which the log is known.
+};
+
+// An object of the store as a relay passes it on. One that was removed has
+// `removed`, and no value.
+struct BeliefItem {
+  std::string kind;
+  std::string name;
+  uint64_t revision = 0;
+  bool removed = false;
+  std::string value;
+};
+
+// Up to which revision of the store a kind is known.
+struct BeliefPosition {
+  std::string kind;
+  uint64_t as_of = 0;
+};
+
+// Objects of the store from a relay: all of them with `complete`, else the
+// changes between two positions in the relay's log.
+struct BeliefPush {
+  static constexpr char kName[] = "belief_push";
+  uint64_t epoch = 0;
+  uint64_t from = 0;  // Position that the changes build on.
+  uint64_t sequence = 0;
+  bool complete = false;
+  // For how long yet a removed record need not mean that its endpoint left.
+  uint64_t doubt_ms = 0;
+  std::vector<BeliefItem> items;
+  std::vector<BeliefPosition> positions;
+};
+
 using Message = std::variant<Heartbeat,
                              DocumentSummary,
                              DocumentBatch,
@@ -347,7 +385,9 @@
                              KeyComplete,
                              KeyCompleted,
                              KeyReplicate,
-                             KeyReplicated>;
+                             KeyReplicated,
+                             BeliefFollow,
+                             BeliefPush>;
 
 // A message on its way to a host.
 struct Envelope {
--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/names_table.h"
+#include "base/time.h"
 #include "decisions/documents.h"
 
 namespace sassafras {
@@ -51,6 +52,7 @@
 
 struct StoreList {
   std::string kind;
+  Duration timeout{};  // Zero: the client's own.
 };
 
 // Writes `value` if the object's revision is `expected_revision`; zero
@@ -62,10 +64,21 @@
   std::string value;
 };
 
+// What a follower of a kind is told: the whole list with `complete`, else
+// changes. An object that was removed has revision zero.
+struct StoreChange {
+  std::vector<StoreObject> objects;
+  bool complete = false;
+  uint64_t as_of = 0;  // The store's revision up to which this is known.
+};
+
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnavailable;
   // What was read or written; the present state after a conflict.
   std::vector<StoreObject> objects;
+  // With a list: the store's revision that it shows; zero if it is not known
+  // or the list is not whole.
+  uint64_t as_of = 0;
 };
 
 // The document in a store object of `kind`; nothing if it is malformed. The
--- a/src/gateway/belief_feed.cc
+++ b/src/gateway/belief_feed.cc
@@ -11,8 +11,16 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
+// A store that answers a small list no sooner cannot be relied on.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(600);
 constexpr Duration kOwnHostRetry = std::chrono::seconds(2);
 
+constexpr char kMeshName[] = "gateway";
+
+StoreObject ObjectOf(const BeliefItem& item) {
+  return {item.kind, item.name, item.revision, item.value};
+}
+
 void LogChange(const EndpointChange& change) {
   LogLine(LogLevel::kInfo, "endpoints",
           change.is_new ? "Endpoint is new." : "Endpoint changed.")
@@ -26,28 +34,141 @@
 
 }  // namespace
 
-BeliefFeed::BeliefFeed(GatewayState& state, std::function<void()> on_config)
+BeliefFeed::BeliefFeed(GatewayState& state,
+                       std::function<void()> on_complete,
+                       std::function<void()> on_news)
     : state_(state),
-      on_config_(std::move(on_config)),
-      store_(platform::ConnectStore(state.loop, state.settings.store)) {}
+      on_complete_(std::move(on_complete)),
+      on_news_(std::move(on_news)),
+      store_(platform::ConnectStore(state.loop, state.settings.store)),
+      started_(state.loop.Now()) {}
 
-void BeliefFeed::Start() {
+Result<void> BeliefFeed::Start() {
+  table_ = MakeBeliefTable({platform::kConfigKind, platform::kEndpointKind,
+                            platform::kEvacuationKind},
+                           state_.members.self.incarnation);
+  MeshConfig config;
+  config.self = state_.settings.host;
+  config.listen = {state_.settings.ip, state_.settings.peer_port};
+  config.deployment = kMeshName;
+  BOOST_LEAF_ASSIGN(
+      mesh_,
+      StartMesh(
+          state_.loop, config,
+          [this](const HostId& host) { return AddressOf(host); },
+          [this](const HostId& from, const Message& message) {
+            OnMessage(from, message);
+          }));
   store_->set_on_reachable([this](bool reachable) { OnReachable(reachable); });
-  follows_.push_back(store_->Follow(
-      platform::kConfigKind, [this](const auto& objects, bool) {
-        OnConfig(objects);
-      }));
-  follows_.push_back(store_->Follow(
-      platform::kEndpointKind, [this](const auto& objects, bool complete) {
-        OnEndpoints(objects, complete);
-      }));
-  follows_.push_back(store_->Follow(
-      platform::kEvacuationKind, [this](const auto& objects, bool complete) {
-        OnEvacuations(objects, complete);
-      }));
   tick_ = state_.loop.Every(kTickPeriod, [this] { OnTick(); });
+  ReadFirstLists();
   ReadHosts();
   WriteOwnHost();
+  return {};
+}
+
+std::optional<Address> BeliefFeed::AddressOf(const HostId& host) const {
+  const auto it = state_.members.others.find(host);
+  if (it == state_.members.others.end())
+    return std::nullopt;
+  return Address{it->second.notice.ip, state_.settings.peer_port};
+}
+
+void BeliefFeed::OnRound() {
+  const Time now = state_.loop.Now();
+  const FeedInput input{&state_.members, &state_.settings.regions,
+                        HasFollowers(followers_, now), started_};
+  const FeedSource before = choice_.source;
+  if (UpdateFeedChoice(choice_, input, now)) {
+    LogChoice();
+    if (choice_.source != before)
+      follows_.clear();
+    if (choice_.source == FeedSource::kStore)
+      FollowStore();
+  }
+  for (const auto& [relay, heard] : choice_.relays)
+    mesh_->Send(relay, positions_[relay]);
+  if (choice_.source == FeedSource::kStore)
+    ProbeStore();
+}
+
+void BeliefFeed::LogChoice() const {
+  std::string relays;
+  for (const auto& [relay, heard] : choice_.relays)
+    relays += (relays.empty() ? "" : ",") + relay.value();
+  LogLine(LogLevel::kInfo, "beliefs", "Source is chosen.")
+      .With("source", NameOf(choice_.source))
+      .With("relays", relays.empty() ? "-" : relays)
+      .With("complete", is_complete_);
+}
+
+// Cheap lists of any replica, so that the host serves before it has found a
+// relay; what they lack follows from its source.
+void BeliefFeed::ReadFirstLists() {
+  for (const auto& [kind, known] : table_.kinds) {
+    store_->List({kind}, [this, name = kind](const StoreReply& reply) {
+      if (reply.status != StoreStatus::kOk || reply.as_of == 0 ||
+          table_.kinds[name].as_of > 0)
+        return;
+      TakeStoreChange(name, {reply.objects, true, reply.as_of});
+    });
+  }
+}
+
+void BeliefFeed::TakeStoreChange(const std::string& kind,
+                                 const StoreChange& change) {
+  const auto news = ApplyStoreChange(table_, kind, change);
+  Take(news);
+  if (news.empty() || !IsComplete(table_))
+    return;
+  for (const AddressedPush& it :
+       PushToAll(followers_, table_, Doubt(), state_.loop.Now()))
+    mesh_->Send(it.to, it.push);
+}
+
+void BeliefFeed::FollowStore() {
+  for (const auto& [kind, known] : table_.kinds) {
+    follows_.push_back(
+        store_->Follow(kind, [this, name = kind](const StoreChange& change) {
+          TakeStoreChange(name, change);
+        }));
+  }
+}
+
+void BeliefFeed::OnMessage(const HostId& from, const Message& message) {
+  if (const auto* follow = std::get_if<BeliefFollow>(&message))
+    OnFollowMessage(from, *follow);
+  else if (const auto* push = std::get_if<BeliefPush>(&message))
+    OnPush(from, *push);
+}
+
+// A host that does not follow the store has nothing to pass on yet; being
+// asked makes it follow the store from the next round on.
+void BeliefFeed::OnFollowMessage(const HostId& from,
+                                 const BeliefFollow& follow) {
+  const Time now = state_.loop.Now();
+  const bool is_relay =
+      choice_.source == FeedSource::kStore && IsComplete(table_);
+  const BeliefPush push =
+      OnFollow(followers_, table_, from, follow, Doubt(), now);
+  if (is_relay && store_reachable_)
+    mesh_->Send(from, push);
+}
+
+void BeliefFeed::OnPush(const HostId& from, const BeliefPush& push) {
+  if (choice_.relays.count(from) == 0)
+    return;
+  const Time now = state_.loop.Now();
+  OnRelayHeard(choice_, from, now);
+  ExtendDoubt(state_.endpoints, std::chrono::milliseconds(push.doubt_ms), now);
+  BeliefFollow& position = positions_[from];
+  const bool follows_on = push.complete || (push.epoch == position.epoch &&
+                                            push.from <= position.sequence);
+  // What lies between is asked for with the next sign of life.
+  if (!follows_on)
+    return;
+  position = {push.epoch, push.sequence};
+  Take(ApplyPush(table_, push));
 }
 
 void BeliefFeed::OnReachable(bool reachable) {
@@ -56,11 +177,30 @@
           reachable ? "Store answers again." : "Store does not answer.")
       .With("config", state_.config ? state_.config->version : 0);
   MarkRegistryUnreliable(state_.endpoints, state_.loop.Now());
+  if (state_.members.self.reaches_store == reachable)
+    return;
+  // Others choose their relays by this.
+  state_.members.self.reaches_store = reachable;
+  on_news_();
+}
+
+Duration BeliefFeed::Doubt() const {
+  return state_.endpoints.registry_unreliable_until - state_.loop.Now();
+}
+
+// Asks for little from any replica: a watch that waits does not show whether
+// the store can still be reached.
+void BeliefFeed::ProbeStore() {
+  if (is_probing_)
+    return;
+  is_probing_ = true;
+  store_->List({platform::kEvacuationKind, kProbeTimeout},
+               [this](const StoreReply&) { is_probing_ = false; });
 }
 
 void BeliefFeed::OnTick() {
   const Time now = state_.loop.Now();
-  if (!store_reachable_)
+  if (choice_.source == FeedSource::kStore && !store_reachable_)
     MarkRegistryUnreliable(state_.endpoints, now);
   ApplyChanges(DropMissing(state_.endpoints, now));
   state_.pool.Sweep();
@@ -74,101 +214,83 @@
   }
 }
 
-void BeliefFeed::OnEndpoints(const std::vector<StoreObject>& objects,
-                             bool complete) {
-  const Time now = state_.loop.Now();
-  std::vector<EndpointRecord> records;
-  for (const StoreObject& object : objects) {
-    if (object.revision == 0) {
-      ApplyChanges(
-          ApplyRemoval(state_.endpoints, EndpointId(object.name), now));
-      continue;
-    }
-    auto record = TryOr(
-        [&]() -> Result<std::optional<EndpointRecord>> {
-          BOOST_LEAF_AUTO(it, platform::DecodeEndpoint(
-                                  object, state_.settings.regions));
-          return std::optional<EndpointRecord>(std::move(it));
-        },
-        [](const Error& e) {
-          LogLine(LogLevel::kWarning, "endpoints", "Record is malformed.")
-              .With("reason", e.ToString());
-          return std::optional<EndpointRecord>();
-        });
-    if (!record)
-      continue;
-    if (complete)
-      records.push_back(std::move(*record));
-    else
-      ApplyChanges(ApplyRecord(state_.endpoints, *record, now));
-  }
-  if (complete)
-    ApplyChanges(ApplyList(state_.endpoints, records, now));
-}
-
-void BeliefFeed::OnConfig(const std::vector<StoreObject>& objects) {
-  for (const StoreObject& object : objects) {
-    if (object.name != platform::kConfigName || object.revision == 0)
-      continue;
-    auto config = TryOr(
-        [&]() -> Result<std::shared_ptr<const SteeringConfig>> {
-          BOOST_LEAF_AUTO(it, platform::DecodeConfig(object));
-          return std::make_shared<const SteeringConfig>(std::move(it));
-        },
-        [](const Error& e) {
-          LogLine(LogLevel::kError, "config", "Configuration is malformed.")
-              .With("reason", e.ToString());
-          return std::shared_ptr<const SteeringConfig>();
-        });
-    if (!config)
-      continue;
-    const uint64_t before = state_.config ? state_.config->version : 0;
-    const bool is_newer = !state_.config || config->version > before;
-    LogLine(LogLevel::kInfo, "config",
-            is_newer ? "Configuration is in force." : "Configuration is old.")
-        .With("version", config->version)
-        .With("before", before)
-        .With("revision", object.revision);
-    if (!is_newer)
-      continue;
-    state_.config = std::move(config);
-    on_config_();
+void BeliefFeed::Take(const std::vector<BeliefItem>& items) {
+  const bool was_complete = is_complete_;
+  for (const BeliefItem& it : items) {
+    if (it.kind == platform::kEndpointKind)
+      TakeEndpoint(it);
+    else if (it.kind == platform::kConfigKind)
+      TakeConfig(it);
+    else if (it.kind == platform::kEvacuationKind)
+      TakeEvacuation(it);
   }
+  is_complete_ = IsComplete(table_) && state_.config;
+  if (is_complete_ && !was_complete)
+    on_complete_();
 }
 
-void BeliefFeed::OnEvacuations(const std::vector<StoreObject>& objects,
-                               bool complete) {
-  std::set<ZoneId> listed;
-  for (const StoreObject& object : objects) {
-    const ZoneId zone(object.name);
-    if (object.revision == 0) {
-      EndEvacuationOf(zone);
-      continue;
-    }
-    listed.insert(zone);
-    if (state_.endpoints.evacuated.count(zone) == 0) {
-      LogLine(LogLevel::kInfo, "endpoints", "Evacuation begins.")
-          .With("zone", zone)
-          .With("revision", object.revision);
-    }
-    SetEvacuated(state_.endpoints, zone);
-  }
-  if (!complete)
+void BeliefFeed::TakeEndpoint(const BeliefItem& item) {
+  const Time now = state_.loop.Now();
+  if (item.removed) {
+    ApplyChanges(ApplyRemoval(state_.endpoints, EndpointId(item.name), now));
     return;
-  const std::set<ZoneId> before = state_.endpoints.evacuated;
-  for (const ZoneId& it : before) {
-    if (listed.count(it) == 0)
-      EndEvacuationOf(it);
   }
+  TryOr(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(record, platform::DecodeEndpoint(
+                                    ObjectOf(item), state_.settings.regions));
+        ApplyChanges(ApplyRecord(state_.endpoints, record, now));
+        return {};
+      },
+      [](const Error& e) {
+        LogLine(LogLevel::kWarning, "endpoints", "Record is malformed.")
+            .With("reason", e.ToString());
+      });
 }
 
-void BeliefFeed::EndEvacuationOf(const ZoneId& zone) {
+void BeliefFeed::TakeConfig(const BeliefItem& item) {
+  if (item.name != platform::kConfigName || item.removed)
+    return;
+  auto config = TryOr(
+      [&]() -> Result<std::shared_ptr<const SteeringConfig>> {
+        BOOST_LEAF_AUTO(it, platform::DecodeConfig(ObjectOf(item)));
+        return std::make_shared<const SteeringConfig>(std::move(it));
+      },
+      [](const Error& e) {
+        LogLine(LogLevel::kError, "config", "Configuration is malformed.")
+            .With("reason", e.ToString());
+        return std::shared_ptr<const SteeringConfig>();
+      });
+  if (!config)
+    return;
+  const uint64_t before = state_.config ? state_.config->version : 0;
+  const bool is_newer = !state_.config || config->version > before;
+  LogLine(LogLevel::kInfo, "config",
+          is_newer ? "Configuration is in force." : "Configuration is old.")
+      .With("version", config->version)
+      .With("before", before)
+      .With("revision", item.revision);
+  if (!is_newer)
+    return;
+  state_.config = std::move(config);
+  state_.members.self.config_version = state_.config->version;
+}
+
+void BeliefFeed::TakeEvacuation(const BeliefItem& item) {
+  const ZoneId zone(item.name);
+  LogLine(LogLevel::kInfo, "endpoints",
+          item.removed ? "Evacuation ends." : "Evacuation begins.")
+      .With("zone", zone)
+      .With("revision", item.revision);
+  if (!item.removed) {
+    SetEvacuated(state_.endpoints, zone);
+    return;
+  }
   Duration warmup{};
   if (state_.config) {
     for (const auto& [name, service] : state_.config->services)
       warmup = std::max(warmup, service.warmup_time);
   }
-  LogLine(LogLevel::kInfo, "endpoints", "Evacuation ends.").With("zone", zone);
   EndEvacuation(state_.endpoints, zone, warmup, state_.loop.Now());
 }
 
--- a/src/gateway/belief_feed.h
+++ b/src/gateway/belief_feed.h
@@ -1,45 +1,75 @@
-// Follows the platform's store: configuration, endpoints, evacuations and the
-// hosts that have started. Turns its objects into the gateway's beliefs.
+// Brings the store's objects to this host, from the store itself or through a
+// relay, and turns them into the gateway's beliefs. A host that is a relay
+// passes them on.
 #ifndef GATEWAY_BELIEF_FEED_H_
 #define GATEWAY_BELIEF_FEED_H_
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
+#include <string>
 #include <vector>
 
 #include "gateway/gateway_state.h"
+#include "peers/peers.h"
+#include "routing/belief_table.h"
+#include "routing/relay_choice.h"
 #include "store/store.h"
 
 namespace sassafras {
 
 class BeliefFeed {
  public:
-  // `on_config` is called when another configuration is in force.
-  BeliefFeed(GatewayState& state, std::function<void()> on_config);
+  // `on_complete` is called once all that a request needs is known.
+  // `on_news` asks to tell other hosts of a change of this one.
+  BeliefFeed(GatewayState& state,
+             std::function<void()> on_complete,
+             std::function<void()> on_news);
   BeliefFeed(const BeliefFeed&) = delete;
   BeliefFeed& operator=(const BeliefFeed&) = delete;
 
-  void Start();
-  bool is_store_reachable() const { return store_reachable_; }
+  Result<void> Start();
+  // Chooses the source anew and tells the relay that this host lives; called
+  // with each round of gossip.
+  void OnRound();
 
  private:
-  void OnEndpoints(const std::vector<StoreObject>& objects, bool complete);
-  void OnConfig(const std::vector<StoreObject>& objects);
-  void OnEvacuations(const std::vector<StoreObject>& objects, bool complete);
-  void EndEvacuationOf(const ZoneId& zone);
+  void ReadFirstLists();
+  void TakeStoreChange(const std::string& kind, const StoreChange& change);
+  void FollowStore();
+  void LogChoice() const;
+  void OnMessage(const HostId& from, const Message& message);
+  void OnFollowMessage(const HostId& from, const BeliefFollow& follow);
+  void OnPush(const HostId& from, const BeliefPush& push);
+  void Take(const std::vector<BeliefItem>& items);
+  void TakeEndpoint(const BeliefItem& item);
+  void TakeConfig(const BeliefItem& item);
+  void TakeEvacuation(const BeliefItem& item);
   void ApplyChanges(const std::vector<EndpointChange>& changes);
   void OnReachable(bool reachable);
+  void ProbeStore();
+  Duration Doubt() const;
   void OnTick();
   void ReadHosts();
   void WriteOwnHost();
+  std::optional<Address> AddressOf(const HostId& host) const;
 
   GatewayState& state_;
-  std::function<void()> on_config_;
+  std::function<void()> on_complete_;
+  std::function<void()> on_news_;
   std::unique_ptr<Store> store_;
+  std::unique_ptr<Mesh> mesh_;
+  BeliefTable table_;
+  BeliefFollowers followers_;
+  FeedChoice choice_;
+  // Positions in the logs of the relays.
+  std::map<HostId, BeliefFollow> positions_;
+  Time started_;
   std::vector<std::unique_ptr<Watch>> follows_;
   std::unique_ptr<Watch> tick_;
   std::unique_ptr<Watch> own_host_retry_;
+  bool is_complete_ = false;
+  bool is_probing_ = false;
   bool store_reachable_ = true;
 };
 
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -131,7 +131,7 @@
 }
 
 void CallerConnection::BeginRequest() {
-  reading_ = std::make_shared<Exchange>(state_, weak_from_this(),
+  reading_ = std::make_shared<GatewayExchange>(state_, weak_from_this(),
                                         reader_->head(), request_started_);
   queue_.push_back(reading_);
   if (reading_->request().expects_continue &&
@@ -197,34 +197,34 @@
   }
 }
 
-bool CallerConnection::IsFront(const Exchange& exchange) const {
+bool CallerConnection::IsFront(const GatewayExchange& exchange) const {
   return !queue_.empty() && queue_.front().get() == &exchange;
 }
 
-void CallerConnection::Send(Exchange& exchange, std::string bytes) {
+void CallerConnection::Send(GatewayExchange& exchange, std::string bytes) {
   if (IsFront(exchange))
     stream_->Write(bytes);
   else
     exchange.held_output += bytes;
 }
 
-size_t CallerConnection::Unsent(const Exchange& exchange) const {
+size_t CallerConnection::Unsent(const GatewayExchange& exchange) const {
   return IsFront(exchange) ? stream_->pending() : exchange.held_output.size();
 }
 
-bool CallerConnection::ClosesAfter(const Exchange& exchange) const {
+bool CallerConnection::ClosesAfter(const GatewayExchange& exchange) const {
   if (state_.stopping || !exchange.caller_keeps_alive())
     return true;
   return closing_ && !queue_.empty() && queue_.back().get() == &exchange;
 }
 
-void CallerConnection::Finish(Exchange& exchange) {
+void CallerConnection::Finish(GatewayExchange& exchange) {
   exchange.held_finish = true;
   if (IsFront(exchange))
     PopFinished();
 }
 
-void CallerConnection::Break(Exchange& exchange) {
+void CallerConnection::Break(GatewayExchange& exchange) {
   exchange.held_break = true;
   if (IsFront(exchange))
     Release(false);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -27,15 +27,15 @@
   void CloseIfIdle();
   void CloseNow();
 
-  void Send(Exchange& exchange, std::string bytes) override;
-  void Finish(Exchange& exchange) override;
-  void Break(Exchange& exchange) override;
-  bool ClosesAfter(const Exchange& exchange) const override;
+  void Send(GatewayExchange& exchange, std::string bytes) override;
+  void Finish(GatewayExchange& exchange) override;
+  void Break(GatewayExchange& exchange) override;
+  bool ClosesAfter(const GatewayExchange& exchange) const override;
   void ResumeBody() override;
-  size_t Unsent(const Exchange& exchange) const override;
+  size_t Unsent(const GatewayExchange& exchange) const override;
 
  private:
-  using ExchangePtr = std::shared_ptr<Exchange>;
+  using ExchangePtr = std::shared_ptr<GatewayExchange>;
 
   void OnData(std::string_view data);
   void OnEnd();
@@ -49,7 +49,7 @@
   void BeginWaiting();
   void PopFinished();
   void Release(bool gracefully);
-  bool IsFront(const Exchange& exchange) const;
+  bool IsFront(const GatewayExchange& exchange) const;
   void UpdateReading();
 
   GatewayState& state_;
--- a/src/gateway/endpoint_pool.cc
+++ b/src/gateway/endpoint_pool.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-std::shared_ptr<Stream> EndpointPool::Take(const Endpoint& endpoint,
+std::shared_ptr<Stream> EndpointPool::Take(const EndpointView& endpoint,
                                            Duration longest_idle) {
   const auto it = kept_.find(&endpoint);
   if (it == kept_.end() || it->second.empty())
@@ -57,7 +57,7 @@
   stream->SetReading(true);
 }
 
-void EndpointPool::Remove(const Endpoint* endpoint, const Stream* stream) {
+void EndpointPool::Remove(const EndpointView* endpoint, const Stream* stream) {
   const auto it = kept_.find(endpoint);
   if (it == kept_.end())
     return;
@@ -73,7 +73,7 @@
   removed->Close();
 }
 
-void EndpointPool::Drop(const Endpoint& endpoint) {
+void EndpointPool::Drop(const EndpointView& endpoint) {
   const auto it = kept_.find(&endpoint);
   if (it == kept_.end())
     return;
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -20,14 +20,14 @@
 
   // A connection that has been idle for `longest_idle` at most; null if there
   // is none. The caller sets its handlers.
-  std::shared_ptr<Stream> Take(const Endpoint& endpoint, Duration longest_idle);
+  std::shared_ptr<Stream> Take(const EndpointView& endpoint, Duration longest_idle);
   // Keeps a connection after a complete answer. `idle_timeout`: how long the
   // endpoint keeps it.
   void Put(const EndpointPtr& endpoint,
            const std::shared_ptr<Stream>& stream,
            Duration idle_timeout);
   // Closes the kept connections of an endpoint that gets nothing new.
-  void Drop(const Endpoint& endpoint);
+  void Drop(const EndpointView& endpoint);
   // Closes connections whose time is up.
   void Sweep();
   size_t size() const;
@@ -38,11 +38,11 @@
     Time since;
     Time until;
   };
-  void Remove(const Endpoint* endpoint, const Stream* stream);
+  void Remove(const EndpointView* endpoint, const Stream* stream);
 
   Loop& loop_;
   // The latest used connection of an endpoint is the last of its list.
-  std::unordered_map<const Endpoint*, std::vector<Kept>> kept_;
+  std::unordered_map<const EndpointView*, std::vector<Kept>> kept_;
 };
 
 }  // namespace sassafras
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -48,7 +48,7 @@
 
 }  // namespace
 
-Exchange::Exchange(GatewayState& state,
+GatewayExchange::GatewayExchange(GatewayState& state,
                    std::weak_ptr<ExchangeSink> sink,
                    const HttpHead& head,
                    Time arrived)
@@ -67,7 +67,7 @@
     route_ = FindRoute(*config_, request_.host, request_.path);
 }
 
-Exchange::~Exchange() {
+GatewayExchange::~GatewayExchange() {
   --state_.open_exchanges;
   if (try_ && try_->stream) {
     OnEnded(*try_->endpoint);
@@ -75,15 +75,15 @@
   }
 }
 
-uint64_t Exchange::HashOfId() const {
+uint64_t GatewayExchange::HashOfId() const {
   return HashText(request_.id);
 }
 
-Duration Exchange::TimeLeft() const {
+Duration GatewayExchange::TimeLeft() const {
   return deadline_ - state_.loop.Now();
 }
 
-void Exchange::Begin() {
+void GatewayExchange::Begin() {
   begun_ = true;
   if (!config_) {
     Refuse("no_configuration", kStartRetry);
@@ -110,7 +110,7 @@
     TryNext();
 }
 
-void Exchange::StartTimer(Duration delay) {
+void GatewayExchange::StartTimer(Duration delay) {
   timer_ = state_.loop.After(std::max(delay, Duration(0)),
                              [weak = weak_from_this()] {
                                if (const auto self = weak.lock())
@@ -118,7 +118,7 @@
                              });
 }
 
-bool Exchange::wants_body() const {
+bool GatewayExchange::wants_body() const {
   if (finished_ || body_complete_)
     return true;
   const size_t sent = try_ ? try_->body_sent : body_begin_;
@@ -126,7 +126,7 @@
          (sends_ == 0 && !try_);
 }
 
-void Exchange::OnBody(std::string data) {
+void GatewayExchange::OnBody(std::string data) {
   // What follows an early answer is read and dropped.
   if (finished_ || answer_begun_)
     return;
@@ -139,7 +139,7 @@
     TryNext();
 }
 
-void Exchange::OnBodyEnd() {
+void GatewayExchange::OnBodyEnd() {
   body_complete_ = true;
   if (finished_ || !begun_)
     return;
@@ -149,7 +149,7 @@
     TryNext();
 }
 
-void Exchange::OnBodyFault(int status) {
+void GatewayExchange::OnBodyFault(int status) {
   if (finished_)
     return;
   if (answer_begun_) {
@@ -160,7 +160,7 @@
 }
 
 // Places the request and sends it, or refuses it.
-void Exchange::TryNext() {
+void GatewayExchange::TryNext() {
   const Time now = state_.loop.Now();
   PlacementRequest query;
   query.service = &service_;
@@ -189,7 +189,7 @@
   Connect(placement.endpoint);
 }
 
-void Exchange::Connect(const EndpointPtr& endpoint) {
+void GatewayExchange::Connect(const EndpointPtr& endpoint) {
   try_ = std::make_unique<Try>();
   try_->endpoint = endpoint;
   try_->started = state_.loop.Now();
@@ -198,7 +198,7 @@
   const Duration longest_idle = may_repeat() ? Duration::max() : kYoungIdle;
   try_->stream = state_.pool.Take(*endpoint, longest_idle);
   Stream::Handlers handlers;
-  const std::weak_ptr<Exchange> weak = weak_from_this();
+  const std::weak_ptr<GatewayExchange> weak = weak_from_this();
   handlers.on_connected = [weak] {
     if (const auto self = weak.lock())
       self->OnConnected();
@@ -252,12 +252,12 @@
   try_->stream->Start(std::move(handlers));
 }
 
-void Exchange::OnConnected() {
+void GatewayExchange::OnConnected() {
   connect_timer_.reset();
   SendRequest();
 }
 
-void Exchange::SendRequest() {
+void GatewayExchange::SendRequest() {
   Try& t = *try_;
   HttpFields fields =
       platform::EncodeRequest(request_, t.endpoint->record.id, TimeLeft());
@@ -279,7 +279,7 @@
   SendBody();
 }
 
-void Exchange::SendBody() {
+void GatewayExchange::SendBody() {
   Try& t = *try_;
   if (t.body_ended || !t.stream || !t.stream->is_open())
     return;
@@ -304,7 +304,7 @@
   }
 }
 
-void Exchange::OnEndpointDrained() {
+void GatewayExchange::OnEndpointDrained() {
   if (!try_ || !try_->sent)
     return;
   SendBody();
@@ -312,7 +312,7 @@
     sink->ResumeBody();
 }
 
-void Exchange::OnAnswerData(std::string_view data) {
+void GatewayExchange::OnAnswerData(std::string_view data) {
   if (!try_ || !try_->sent)
     return;
   const auto self = shared_from_this();
@@ -320,7 +320,7 @@
   ReadAnswers();
 }
 
-void Exchange::ReadAnswers() {
+void GatewayExchange::ReadAnswers() {
   while (try_ && !try_->input.empty()) {
     Try& t = *try_;
     const size_t n = t.reader->Read(t.input);
@@ -349,7 +349,7 @@
 }
 
 // Judges the head of the answer being read; false if the try has ended.
-bool Exchange::TakeAnswerHead() {
+bool GatewayExchange::TakeAnswerHead() {
   Try& t = *try_;
   if (t.has_answer || t.skips)
     return true;
@@ -384,7 +384,7 @@
 }
 
 // Takes the end of a message; true if the try has ended with it.
-bool Exchange::TakeAnswerEnd() {
+bool GatewayExchange::TakeAnswerEnd() {
   Try& t = *try_;
   if (t.skips) {
     t.skips = false;
@@ -401,7 +401,7 @@
   return true;
 }
 
-void Exchange::OnStreamEnd(StreamEnd end) {
+void GatewayExchange::OnStreamEnd(StreamEnd end) {
   if (!try_)
     return;
   const auto self = shared_from_this();
@@ -422,7 +422,7 @@
   EndTry(TryOutcome::kBroken);
 }
 
-HttpFields Exchange::AnswerFields(const EndpointAnswer& answer) const {
+HttpFields GatewayExchange::AnswerFields(const WireAnswer& answer) const {
   HttpFields fields = answer.forwarded;
   const auto sink = sink_.lock();
   if (sink && sink->ClosesAfter(*this))
@@ -431,7 +431,7 @@
 }
 
 // Hands a part of the answer's body to the caller, its head before the first.
-void Exchange::ForwardAnswer(bool complete) {
+void GatewayExchange::ForwardAnswer(bool complete) {
   const auto sink = sink_.lock();
   if (!sink || caller_gone_) {
     try_->body.clear();
@@ -464,15 +464,15 @@
     t.stream->SetReading(false);
 }
 
-void Exchange::OnCallerDrained() {
+void GatewayExchange::OnCallerDrained() {
   if (try_ && try_->stream)
     try_->stream->SetReading(true);
 }
 
 // Records what the try's end says about its endpoint.
-void Exchange::NoteOutcome(const Try& ended, TryOutcome outcome) {
+void GatewayExchange::NoteOutcome(const Try& ended, TryOutcome outcome) {
   const Time now = state_.loop.Now();
-  Endpoint& endpoint = *ended.endpoint;
+  EndpointView& endpoint = *ended.endpoint;
   OnEnded(endpoint);
   switch (outcome) {
     case TryOutcome::kAnswered:
@@ -498,7 +498,7 @@
 }
 
 // Keeps the connection if it can carry another request, else closes it.
-void Exchange::ReleaseStream(TryOutcome outcome) {
+void GatewayExchange::ReleaseStream(TryOutcome outcome) {
   Try& t = *try_;
   if (!t.stream || !t.stream->is_open())
     return;
@@ -516,7 +516,7 @@
     t.stream->Close();
 }
 
-void Exchange::EndTry(TryOutcome outcome) {
+void GatewayExchange::EndTry(TryOutcome outcome) {
   connect_timer_.reset();
   NoteOutcome(*try_, outcome);
   ReleaseStream(outcome);
@@ -526,10 +526,16 @@
   AfterTry(outcome, std::move(*ended));
 }
 
-void Exchange::AfterTry(TryOutcome outcome, Try ended) {
+void GatewayExchange::AfterTry(TryOutcome outcome, Try ended) {
   if (finished_)
     return;
-  TryEnd end;
+  if (caller_gone_) {
+    // Nobody waits for another try.
+    finished_ = true;
+    timer_.reset();
+    return;
+  }
+  TryState end;
   end.outcome = outcome;
   end.kind = route_->kind;
   end.may_have_run = may_have_run_;
@@ -568,7 +574,7 @@
   }
 }
 
-void Exchange::Deliver(Try& ended) {
+void GatewayExchange::Deliver(Try& ended) {
   try_ = std::make_unique<Try>(std::move(ended));
   try_->stream.reset();
   ForwardAnswer(true);
@@ -578,7 +584,7 @@
   Finish(status, "endpoint");
 }
 
-void Exchange::LogTry(const Try& ended,
+void GatewayExchange::LogTry(const Try& ended,
                       TryOutcome outcome,
                       NextStep step) const {
   const Time now = state_.loop.Now();
@@ -594,11 +600,11 @@
       .With("left_ms", Millis(TimeLeft()));
 }
 
-void Exchange::Refuse(const char* cause, std::optional<Duration> retry_after) {
+void GatewayExchange::Refuse(const char* cause, std::optional<Duration> retry_after) {
   AnswerOwn(kHttpUnavailable, cause, retry_after);
 }
 
-void Exchange::AnswerOwn(int status,
+void GatewayExchange::AnswerOwn(int status,
                          const char* cause,
                          std::optional<Duration> retry_after) {
   if (finished_)
@@ -623,7 +629,7 @@
   Finish(status, cause);
 }
 
-void Exchange::Finish(int status, const char* cause) {
+void GatewayExchange::Finish(int status, const char* cause) {
   finished_ = true;
   timer_.reset();
   const Duration took = state_.loop.Now() - arrived_;
@@ -646,7 +652,7 @@
     sink->Finish(*this);
 }
 
-void Exchange::OnDeadline() {
+void GatewayExchange::OnDeadline() {
   const auto self = shared_from_this();
   if (finished_)
     return;
@@ -665,7 +671,7 @@
     Refuse("timed_out", std::nullopt);
 }
 
-void Exchange::OnCallerGone() {
+void GatewayExchange::OnCallerGone() {
   if (finished_ || caller_gone_)
     return;
   caller_gone_ = true;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,7 +14,7 @@
 
 namespace sassafras {
 
-class Exchange;
+class GatewayExchange;
 
 // The connection of the caller, as its exchanges use it.
 class ExchangeSink {
@@ -22,28 +22,28 @@
   virtual ~ExchangeSink() = default;
 
   // Sends a part of the exchange's answer, in turn.
-  virtual void Send(Exchange& exchange, std::string bytes) = 0;
+  virtual void Send(GatewayExchange& exchange, std::string bytes) = 0;
   // The answer is complete.
-  virtual void Finish(Exchange& exchange) = 0;
+  virtual void Finish(GatewayExchange& exchange) = 0;
   // The answer has broken off and must not look complete.
-  virtual void Break(Exchange& exchange) = 0;
+  virtual void Break(GatewayExchange& exchange) = 0;
   // Whether the connection ends behind this exchange's answer.
-  virtual bool ClosesAfter(const Exchange& exchange) const = 0;
+  virtual bool ClosesAfter(const GatewayExchange& exchange) const = 0;
   // There is room again for more of the request's body.
   virtual void ResumeBody() = 0;
   // Bytes of the exchange's answer that the caller has not taken yet.
-  virtual size_t Unsent(const Exchange& exchange) const = 0;
+  virtual size_t Unsent(const GatewayExchange& exchange) const = 0;
 };
 
-class Exchange : public std::enable_shared_from_this<Exchange> {
+class GatewayExchange : public std::enable_shared_from_this<GatewayExchange> {
  public:
-  Exchange(GatewayState& state,
+  GatewayExchange(GatewayState& state,
            std::weak_ptr<ExchangeSink> sink,
            const HttpHead& head,
            Time arrived);
-  ~Exchange();
-  Exchange(const Exchange&) = delete;
-  Exchange& operator=(const Exchange&) = delete;
+  ~GatewayExchange();
+  GatewayExchange(const GatewayExchange&) = delete;
+  GatewayExchange& operator=(const GatewayExchange&) = delete;
 
   // Decides on the request once its head is known.
   void Begin();
@@ -78,7 +78,7 @@
     EndpointPtr endpoint;
     std::shared_ptr<Stream> stream;
     std::unique_ptr<HttpReader> reader;
-    EndpointAnswer answer;
+    WireAnswer answer;
     std::string input;
     std::string body;         // Answer's body that the caller has not got.
     size_t body_sent = 0;     // Bytes of the request's body handed over.
@@ -114,7 +114,7 @@
   void Finish(int status, const char* cause);
   void OnDeadline();
   void StartTimer(Duration delay);
-  HttpFields AnswerFields(const EndpointAnswer& answer) const;
+  HttpFields AnswerFields(const WireAnswer& answer) const;
   void NoteOutcome(const Try& ended, TryOutcome outcome);
   void LogTry(const Try& ended, TryOutcome outcome, NextStep step) const;
   Duration TimeLeft() const;
@@ -130,7 +130,7 @@
 
   // Held so that the route outlives a change of the configuration.
   std::shared_ptr<const SteeringConfig> config_;
-  const Route* route_ = nullptr;
+  const RequestRoute* route_ = nullptr;
   ServiceId service_;
   Time arrived_;
   Time deadline_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -55,7 +55,8 @@
   GatewayProcess(const GatewaySettings& settings, std::string settings_path)
       : settings_path_(std::move(settings_path)),
         state_(loop_, settings),
-        feed_(state_, [this] { OnConfig(); }),
+        feed_(
+            state_, [this] { OnComplete(); }, [this] { gossip_.Announce(); }),
         gossip_(state_) {
     HostNotice& self = state_.members.self;
     self.id = settings.host;
@@ -90,9 +91,10 @@
     BOOST_LEAF_ASSIGN(listener_, Listen(state_.settings.callers));
     accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
                              [this](bool, bool) { Accept(); });
-    BOOST_LEAF_CHECK(gossip_.Start());
     BOOST_LEAF_CHECK(StartSides());
-    feed_.Start();
+    BOOST_LEAF_CHECK(feed_.Start());
+    gossip_.set_on_tick([this] { feed_.OnRound(); });
+    BOOST_LEAF_CHECK(gossip_.Start());
     sweep_ = loop_.Every(kSweepPeriod, [this] { Sweep(); });
     reload_ = loop_.Every(kSettingsPeriod, [this] { ReloadIfChanged(); });
     term_ = loop_.OnSignal(SIGTERM, [this] { Stop(); });
@@ -171,9 +173,8 @@
         platform::EncodeDirectory(hosts, state_.settings.directory_ttl));
   }
 
-  void OnConfig() {
+  void OnComplete() {
     HostNotice& self = state_.members.self;
-    self.config_version = state_.config->version;
     if (self.phase != HostPhase::kStarting)
       return;
     self.phase = HostPhase::kReady;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -27,6 +27,7 @@
   Address directory;  // Where callers ask for hosts.
   std::optional<Address> operators;  // State dump, metrics, peers' snapshots.
   uint16_t gossip_port = 0;          // UDP; the same on all hosts.
+  uint16_t peer_port = 0;            // TCP; the same on all hosts.
   std::vector<std::string> seed_ips;
   Address store;
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -30,7 +30,7 @@
 Json ToItems(const HostNotice& it) {
   return Json::array({it.id.value(), it.ip, it.caller_port, it.zone.value(),
                       it.incarnation, it.beat, static_cast<int>(it.phase),
-                      it.config_version, it.cpu_share});
+                      it.config_version, it.cpu_share, it.reaches_store});
 }
 
 HostNotice FromItems(const Json& items) {
@@ -47,6 +47,7 @@
                  : HostPhase::kStarting;
   it.config_version = items.at(7).get<uint64_t>();
   it.cpu_share = items.at(8).get<double>();
+  it.reaches_store = items.at(9).get<bool>();
   return it;
 }
 
@@ -133,6 +134,8 @@
   UpdatePacing();
   SendRound(NextRound(state_.members, state_.settings.seed_ips,
                       state_.loop.Now()));
+  if (on_tick_)
+    on_tick_();
 }
 
 void Gossip::UpdatePacing() {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -5,9 +5,11 @@
 #ifndef GATEWAY_GOSSIP_H_
 #define GATEWAY_GOSSIP_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "gateway/gateway_state.h"
@@ -25,6 +27,8 @@
   Gossip& operator=(const Gossip&) = delete;
 
   Result<void> Start();
+  // Called after each round.
+  void set_on_tick(std::function<void()> fn) { on_tick_ = std::move(fn); }
   // Tells all hosts of a change of this one.
   void Announce();
 
@@ -39,6 +43,7 @@
   std::unique_ptr<Watch> readable_;
   std::unique_ptr<Watch> tick_;
   size_t alive_ = 1;
+  std::function<void()> on_tick_;
 };
 
 }  // namespace sassafras
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -8,7 +8,7 @@
 
 using Json = nlohmann::json;
 
-Json DumpEndpoint(const Endpoint& it, Time now) {
+Json DumpEndpoint(const EndpointView& it, Time now) {
   return Json{{"id", it.record.id},
               {"service", it.record.service},
               {"zone", it.record.zone},
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -1,7 +1,5 @@
 #include "gateway/stream.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -17,24 +15,6 @@
 constexpr int kReadsPerTurn = 4;
 // How long a peer may go on sending after its connection was closed.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
-// A peer that acknowledges nothing for this long is taken as vanished.
-constexpr int kSilenceMs = 2500;
-constexpr int kProbeIdleSeconds = 1;
-constexpr int kProbeSeconds = 1;
-constexpr int kProbes = 2;
-
-void SetOption(int fd, int level, int name, int value) {
-  setsockopt(fd, level, name, &value, sizeof(value));
-}
-
-void DetectSilence(int fd) {
-  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kSilenceMs);
-}
-
 bool IsTransient(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
@@ -45,7 +25,6 @@
     : loop_(loop), socket_(std::move(socket)), connected_(connected) {}
 
 std::shared_ptr<Stream> Stream::Adopt(Loop& loop, Socket socket) {
-  DetectSilence(socket.fd());
   return std::make_shared<Stream>(loop, std::move(socket), true);
 }
 
@@ -53,7 +32,6 @@
                                                 const Address& address,
                                                 const std::string& from_ip) {
   BOOST_LEAF_AUTO(socket, StartConnect(address, from_ip));
-  DetectSilence(socket.fd());
   return std::make_shared<Stream>(loop, std::move(socket), false);
 }
 
--- a/src/gateway/wire_types.h
+++ b/src/gateway/wire_types.h
@@ -25,7 +25,7 @@
 };
 
 // What an endpoint's answer says beside its status and body.
-struct EndpointAnswer {
+struct WireAnswer {
   int status = 0;
   std::string request_id;  // The request it belongs to; empty if not stated.
   bool is_signed = false;  // Bears the endpoint's signature over the answer.
--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -39,7 +39,7 @@
   return true;
 }
 
-bool IsRetryUseful(const TryEnd& end) {
+bool IsRetryUseful(const TryState& end) {
   if (end.answer_begun || !end.replayable || end.time_left < kLeastRetryTime)
     return false;
   if (end.outcome == TryOutcome::kAnswered ||
@@ -52,7 +52,7 @@
   return !end.may_have_run || MayRepeat(end.kind);
 }
 
-NextStep DecideNext(const TryEnd& end, bool may_retry) {
+NextStep DecideNext(const TryState& end, bool may_retry) {
   if (end.outcome == TryOutcome::kAnswered)
     return NextStep::kDeliver;
   if (IsRetryUseful(end) && may_retry)
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -76,7 +76,7 @@
                Time now);
 
 // The request's state after a try.
-struct TryEnd {
+struct TryState {
   TryOutcome outcome = TryOutcome::kAnswered;
   RouteKind kind = RouteKind::kIdempotent;
   // Whether any try of this request may have run.
@@ -92,10 +92,10 @@
 
 // Whether another try is safe and may still be of use, apart from the
 // allowance.
-bool IsRetryUseful(const TryEnd& end);
+bool IsRetryUseful(const TryState& end);
 
 // The next step; `may_retry` says that the allowance has room.
-NextStep DecideNext(const TryEnd& end, bool may_retry);
+NextStep DecideNext(const TryState& end, bool may_retry);
 
 }  // namespace sassafras
 
--- /dev/null
+++ b/src/routing/belief_table.cc
@@ -0,0 +1,222 @@
+#include "routing/belief_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+void Log(BeliefTable& table, const BeliefItem& item) {
+  table.log.push_back(item);
+  ++table.sequence;
+  while (table.log.size() > kMostLogged)
+    table.log.pop_front();
+}
+
+// Takes one object; false if it says nothing new.
+bool ApplyItem(BeliefKind& kind, const BeliefItem& item) {
+  const auto it = kind.objects.find(item.name);
+  if (item.removed) {
+    if (it == kind.objects.end())
+      return false;
+    kind.objects.erase(it);
+    return true;
+  }
+  if (it != kind.objects.end() && it->second.revision >= item.revision)
+    return false;
+  kind.objects[item.name] = item;
+  return true;
+}
+
+// Takes the whole list of a kind.
+std::vector<BeliefItem> ApplyWhole(BeliefKind& kind,
+                                   const std::vector<BeliefItem>& items,
+                                   const std::string& name) {
+  std::vector<BeliefItem> news;
+  std::set<std::string> listed;
+  for (const BeliefItem& it : items) {
+    listed.insert(it.name);
+    if (ApplyItem(kind, it))
+      news.push_back(it);
+  }
+  std::vector<BeliefItem> removed;
+  for (const auto& [object, it] : kind.objects) {
+    if (listed.count(object) == 0)
+      removed.push_back({name, object, it.revision, true, ""});
+  }
+  for (const BeliefItem& it : removed) {
+    kind.objects.erase(it.name);
+    news.push_back(it);
+  }
+  return news;
+}
+
+BeliefItem ItemOf(const std::string& kind, const StoreObject& object) {
+  const bool removed = object.revision == 0;
+  return {kind, object.name, object.revision, removed,
+          removed ? "" : object.value};
+}
+
+std::vector<BeliefItem> ApplyPart(BeliefTable& table, const BeliefPush& push) {
+  std::vector<BeliefItem> news;
+  for (const BeliefItem& it : push.items) {
+    const auto kind = table.kinds.find(it.kind);
+    if (kind != table.kinds.end() && ApplyItem(kind->second, it))
+      news.push_back(it);
+  }
+  return news;
+}
+
+std::vector<BeliefItem> ApplyAll(BeliefTable& table, const BeliefPush& push) {
+  std::map<std::string, std::vector<BeliefItem>> by_kind;
+  for (const BeliefItem& it : push.items)
+    by_kind[it.kind].push_back(it);
+  std::vector<BeliefItem> news;
+  for (const BeliefPosition& position : push.positions) {
+    const auto kind = table.kinds.find(position.kind);
+    // A relay that lags behind must not take anything back.
+    if (kind == table.kinds.end() || position.as_of < kind->second.as_of)
+      continue;
+    for (BeliefItem& it :
+         ApplyWhole(kind->second, by_kind[position.kind], position.kind))
+      news.push_back(std::move(it));
+  }
+  return news;
+}
+
+void Advance(BeliefTable& table, const BeliefPush& push) {
+  for (const BeliefPosition& it : push.positions) {
+    const auto kind = table.kinds.find(it.kind);
+    if (kind != table.kinds.end())
+      kind->second.as_of = std::max(kind->second.as_of, it.as_of);
+  }
+}
+
+}  // namespace
+
+BeliefTable MakeBeliefTable(const std::vector<std::string>& kinds,
+                            uint64_t epoch) {
+  BeliefTable table;
+  table.epoch = epoch;
+  for (const std::string& it : kinds)
+    table.kinds[it];
+  return table;
+}
+
+bool IsComplete(const BeliefTable& table) {
+  return std::all_of(table.kinds.begin(), table.kinds.end(),
+                     [](const auto& it) { return it.second.as_of > 0; });
+}
+
+std::vector<BeliefItem> ApplyStoreChange(BeliefTable& table,
+                                         const std::string& kind,
+                                         const StoreChange& change) {
+  BeliefKind& known = table.kinds[kind];
+  std::vector<BeliefItem> items;
+  for (const StoreObject& it : change.objects)
+    items.push_back(ItemOf(kind, it));
+  std::vector<BeliefItem> news;
+  if (change.complete) {
+    // A replica's list may be older than what is known already.
+    if (change.as_of >= known.as_of)
+      news = ApplyWhole(known, items, kind);
+  } else {
+    for (const BeliefItem& it : items) {
+      if (ApplyItem(known, it))
+        news.push_back(it);
+    }
+  }
+  known.as_of = std::max(known.as_of, change.as_of);
+  for (const BeliefItem& it : news)
+    Log(table, it);
+  return news;
+}
+
+std::vector<BeliefItem> ApplyPush(BeliefTable& table, const BeliefPush& push) {
+  std::vector<BeliefItem> news =
+      push.complete ? ApplyAll(table, push) : ApplyPart(table, push);
+  Advance(table, push);
+  for (const BeliefItem& it : news)
+    Log(table, it);
+  return news;
+}
+
+BeliefPush MakePush(const BeliefTable& table,
+                    uint64_t epoch,
+                    uint64_t sequence,
+                    Duration doubt) {
+  BeliefPush push;
+  push.epoch = table.epoch;
+  push.sequence = table.sequence;
+  push.from = sequence;
+  push.doubt_ms = static_cast<uint64_t>(std::max<int64_t>(Millis(doubt), 0));
+  for (const auto& [name, kind] : table.kinds)
+    push.positions.push_back({name, kind.as_of});
+  const uint64_t first = table.sequence - table.log.size();
+  if (epoch == table.epoch && sequence >= first && sequence <= table.sequence) {
+    const auto skip = static_cast<ptrdiff_t>(sequence - first);
+    push.items.assign(table.log.begin() + skip, table.log.end());
+    return push;
+  }
+  push.complete = true;
+  for (const auto& [name, kind] : table.kinds) {
+    for (const auto& [object, item] : kind.objects)
+      push.items.push_back(item);
+  }
+  return push;
+}
+
+BeliefPush OnFollow(BeliefFollowers& followers,
+                    const BeliefTable& table,
+                    const HostId& from,
+                    const BeliefFollow& follow,
+                    Duration doubt,
+                    Time now) {
+  BeliefFollower& it = followers[from];
+  it.heard = now;
+  const bool is_behind =
+      follow.epoch != table.epoch || follow.sequence <= it.sequence;
+  const bool is_under_way = it.epoch == table.epoch && is_behind &&
+                            now - it.pushed < kPushRepeat;
+  if (!is_under_way) {
+    it.epoch = follow.epoch;
+    it.sequence = follow.sequence;
+  }
+  BeliefPush push = MakePush(table, it.epoch, it.sequence, doubt);
+  if (push.complete || !push.items.empty())
+    it.pushed = now;
+  it.epoch = table.epoch;
+  it.sequence = table.sequence;
+  return push;
+}
+
+bool HasFollowers(const BeliefFollowers& followers, Time now) {
+  return std::any_of(followers.begin(), followers.end(), [&](const auto& it) {
+    return now - it.second.heard < kFollowerSilence;
+  });
+}
+
+std::vector<AddressedPush> PushToAll(BeliefFollowers& followers,
+                                     const BeliefTable& table,
+                                     Duration doubt,
+                                     Time now) {
+  std::vector<AddressedPush> out;
+  for (auto it = followers.begin(); it != followers.end();) {
+    BeliefFollower& follower = it->second;
+    if (now - follower.heard > kFollowerSilence) {
+      it = followers.erase(it);
+      continue;
+    }
+    out.push_back({it->first, MakePush(table, follower.epoch,
+                                       follower.sequence, doubt)});
+    follower.epoch = table.epoch;
+    follower.sequence = table.sequence;
+    follower.pushed = now;
+    ++it;
+  }
+  return out;
+}
+
+}  // namespace sassafras
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -44,7 +44,7 @@
 }
 
 EndpointPtr MakeEndpoint(const EndpointRecord& record, Time now) {
-  auto endpoint = std::make_shared<Endpoint>();
+  auto endpoint = std::make_shared<EndpointView>();
   endpoint->record = record;
   endpoint->hash = HashText(record.id.value());
   endpoint->state =
@@ -130,8 +130,12 @@
 }
 
 void MarkRegistryUnreliable(EndpointSet& set, Time now) {
+  ExtendDoubt(set, kRecordReturnTime, now);
+}
+
+void ExtendDoubt(EndpointSet& set, Duration doubt, Time now) {
   set.registry_unreliable_until =
-      std::max(set.registry_unreliable_until, now + kRecordReturnTime);
+      std::max(set.registry_unreliable_until, now + doubt);
 }
 
 std::vector<EndpointChange> DropMissing(EndpointSet& set, Time now) {
@@ -164,7 +168,7 @@
   }
 }
 
-bool IsUsable(const EndpointSet& set, const Endpoint& endpoint, Time now) {
+bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now) {
   if (endpoint.state == EndpointState::kDraining ||
       endpoint.state == EndpointState::kGone)
     return false;
@@ -174,29 +178,29 @@
          now - endpoint.last_success < kRecentSuccess;
 }
 
-void OnSent(Endpoint& endpoint) {
+void OnSent(EndpointView& endpoint) {
   ++endpoint.in_flight;
   ++endpoint.sent_since_report;
 }
 
-void OnEnded(Endpoint& endpoint) {
+void OnEnded(EndpointView& endpoint) {
   --endpoint.in_flight;
   ++endpoint.ended_since_report;
 }
 
-void OnReport(Endpoint& endpoint, const LoadReport& report) {
+void OnReport(EndpointView& endpoint, const LoadReport& report) {
   endpoint.report = report;
   endpoint.has_report = true;
   endpoint.sent_since_report = 0;
   endpoint.ended_since_report = 0;
 }
 
-void OnSuccess(Endpoint& endpoint, Time now) {
+void OnSuccess(EndpointView& endpoint, Time now) {
   endpoint.failures_in_row = 0;
   endpoint.last_success = now;
 }
 
-void OnFailure(Endpoint& endpoint, Time now) {
+void OnFailure(EndpointView& endpoint, Time now) {
   ++endpoint.failures_in_row;
   if (endpoint.failures_in_row < kFailuresToEject)
     return;
@@ -206,7 +210,7 @@
       now + std::min(kFirstEjection * (1 << doublings), kLongestEjection);
 }
 
-double EstimatedLoad(const Endpoint& endpoint, Time now) {
+double EstimatedLoad(const EndpointView& endpoint, Time now) {
   const double own = endpoint.in_flight;
   if (!endpoint.has_report)
     return own;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -56,7 +56,7 @@
   Time at;  // When the report was received.
 };
 
-struct Endpoint {
+struct EndpointView {
   EndpointRecord record;
   uint64_t hash = 0;  // Of the id; ranks endpoints for an object.
   EndpointState state = EndpointState::kReady;
@@ -77,7 +77,7 @@
   Time next_cold_send;  // Earliest time of the next request while cold.
 };
 
-using EndpointPtr = std::shared_ptr<Endpoint>;
+using EndpointPtr = std::shared_ptr<EndpointView>;
 
 struct EndpointSet {
   std::unordered_map<EndpointId, EndpointPtr> by_id;
@@ -115,6 +115,8 @@
     Time now);
 // The registry cannot be reached, or has just come back.
 void MarkRegistryUnreliable(EndpointSet& set, Time now);
+// As above, as far as another host knows.
+void ExtendDoubt(EndpointSet& set, Duration doubt, Time now);
 // Drops endpoints whose records did not come back in time.
 std::vector<EndpointChange> DropMissing(EndpointSet& set, Time now);
 
@@ -127,22 +129,22 @@
                    Time now);
 
 // Whether new requests may be sent to the endpoint, apart from its load.
-bool IsUsable(const EndpointSet& set, const Endpoint& endpoint, Time now);
+bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now);
 
-inline bool IsCold(const Endpoint& endpoint, Time now) {
+inline bool IsCold(const EndpointView& endpoint, Time now) {
   return now < endpoint.warm_at;
 }
 
 // Bookkeeping of a request's way through an endpoint.
-void OnSent(Endpoint& endpoint);
-void OnEnded(Endpoint& endpoint);
-void OnReport(Endpoint& endpoint, const LoadReport& report);
-void OnSuccess(Endpoint& endpoint, Time now);
+void OnSent(EndpointView& endpoint);
+void OnEnded(EndpointView& endpoint);
+void OnReport(EndpointView& endpoint, const LoadReport& report);
+void OnSuccess(EndpointView& endpoint, Time now);
 // The endpoint could not be reached, broke off or fell silent.
-void OnFailure(Endpoint& endpoint, Time now);
+void OnFailure(EndpointView& endpoint, Time now);
 
 // Requests on the endpoint over all hosts, as far as reports tell.
-double EstimatedLoad(const Endpoint& endpoint, Time now);
+double EstimatedLoad(const EndpointView& endpoint, Time now);
 
 }  // namespace sassafras
 
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -43,6 +43,9 @@
   uint64_t beat = 0;         // Grows with each heartbeat of an incarnation.
   HostPhase phase = HostPhase::kStarting;
   uint64_t config_version = 0;
+  // Whether the host's last call to the store was answered. A host that makes
+  // no calls keeps it true.
+  bool reaches_store = true;
   // Share of a core that the host has; weighs how many callers it gets.
   double cpu_share = 0;
 };
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -23,19 +23,19 @@
   uint64_t rank = 0;
 };
 
-bool IsAllowed(const Route& route, const Endpoint& endpoint) {
+bool IsAllowed(const RequestRoute& route, const EndpointView& endpoint) {
   return route.home_regions.empty() ||
          std::find(route.home_regions.begin(), route.home_regions.end(),
                    endpoint.record.region) != route.home_regions.end();
 }
 
-bool IsTried(const PlacementRequest& request, const Endpoint& endpoint) {
+bool IsTried(const PlacementRequest& request, const EndpointView& endpoint) {
   return std::find(request.tried.begin(), request.tried.end(), &endpoint) !=
          request.tried.end();
 }
 
 // Whether this host is among those that may send to the cold endpoint.
-bool IsWarmupSender(const WarmupPacing& pacing, const Endpoint& endpoint) {
+bool IsWarmupSender(const WarmupPacing& pacing, const EndpointView& endpoint) {
   const uint64_t own = HashPair(endpoint.hash, pacing.own_hash);
   size_t ahead = 0;
   for (const uint64_t it : pacing.host_hashes) {
@@ -46,7 +46,7 @@
 }
 
 bool MaySendCold(const WarmupPacing& pacing,
-                 const Endpoint& endpoint,
+                 const EndpointView& endpoint,
                  Time now) {
   return now >= endpoint.next_cold_send && IsWarmupSender(pacing, endpoint);
 }
@@ -147,7 +147,7 @@
   return placement;
 }
 
-void OnPlaced(const SteeringConfig& config, Endpoint& endpoint, Time now) {
+void OnPlaced(const SteeringConfig& config, EndpointView& endpoint, Time now) {
   if (!IsCold(endpoint, now))
     return;
   const auto it = config.services.find(endpoint.record.service);
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -30,10 +30,10 @@
 
 struct PlacementRequest {
   const ServiceId* service = nullptr;
-  const Route* route = nullptr;
+  const RequestRoute* route = nullptr;
   std::string_view affinity_key;  // Empty: the request concerns no object.
   uint64_t random = 0;            // Spreads requests without a key.
-  std::vector<const Endpoint*> tried;
+  std::vector<const EndpointView*> tried;
 };
 
 enum class PlacementReason {
@@ -68,7 +68,7 @@
                        Time now);
 
 // Records that the request was sent, for the pacing of cold endpoints.
-void OnPlaced(const SteeringConfig& config, Endpoint& endpoint, Time now);
+void OnPlaced(const SteeringConfig& config, EndpointView& endpoint, Time now);
 
 }  // namespace sassafras
 
--- /dev/null
+++ b/src/routing/relay_choice.cc
@@ -0,0 +1,144 @@
+#include "routing/relay_choice.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "base/hash.h"
+
+namespace sassafras {
+
+namespace {
+
+constexpr std::string_view kTopic = "relay";
+
+struct Candidate {
+  uint64_t rank = 0;
+  const HostNotice* notice = nullptr;
+};
+
+bool IsAvoided(const FeedChoice& choice, const HostId& host, Time now) {
+  const auto it = choice.avoided.find(host);
+  return it != choice.avoided.end() && now - it->second < kRelayAvoided;
+}
+
+std::vector<Candidate> RankCandidates(const FeedInput& input,
+                                      const FeedChoice& choice,
+                                      Time now) {
+  const uint64_t seed = HashText(kTopic);
+  std::vector<Candidate> out;
+  const auto add = [&](const HostNotice& it) {
+    if (it.phase != HostPhase::kLeaving && it.reaches_store)
+      out.push_back({HashText(it.id.value(), seed), &it});
+  };
+  add(input.members->self);
+  for (const auto& [id, member] : input.members->others) {
+    if (IsAlive(member, now) && !IsAvoided(choice, id, now))
+      add(member.notice);
+  }
+  std::sort(
+      out.begin(), out.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+  return out;
+}
+
+RegionId RegionOf(const std::map<ZoneId, RegionId>& regions,
+                  const ZoneId& zone) {
+  const auto it = regions.find(zone);
+  return it == regions.end() ? RegionId() : it->second;
+}
+
+template <typename T>
+bool Contains(const std::vector<T>& list, const T& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+bool ChooseStore(FeedChoice& choice) {
+  const bool changed = choice.source != FeedSource::kStore;
+  choice.source = FeedSource::kStore;
+  choice.relays.clear();
+  return changed;
+}
+
+// Leaves relays that have fallen silent; true if none of them is heard.
+bool DropSilent(FeedChoice& choice, Time now) {
+  bool is_any_heard = false;
+  for (auto it = choice.relays.begin(); it != choice.relays.end();) {
+    if (now - it->second <= kRelaySilence) {
+      is_any_heard = true;
+      ++it;
+      continue;
+    }
+    choice.avoided[it->first] = now;
+    it = choice.relays.erase(it);
+  }
+  return !is_any_heard;
+}
+
+bool ChooseRelays(FeedChoice& choice,
+                  const std::vector<HostId>& relays,
+                  Time now) {
+  bool changed = choice.source != FeedSource::kRelays ||
+                 choice.relays.size() != relays.size();
+  choice.source = FeedSource::kRelays;
+  std::map<HostId, Time> chosen;
+  for (const HostId& it : relays) {
+    const auto known = choice.relays.find(it);
+    const bool is_new = known == choice.relays.end();
+    chosen[it] = is_new ? now : known->second;
+    changed = changed || is_new;
+  }
+  choice.relays = std::move(chosen);
+  return changed;
+}
+
+}  // namespace
+
+std::vector<HostId> FindRelays(const FeedInput& input,
+                               const FeedChoice& choice,
+                               Time now) {
+  const auto ranked = RankCandidates(input, choice, now);
+  std::vector<HostId> relays;
+  std::vector<RegionId> used;
+  // A second pass fills up from regions that have one already.
+  for (const bool any_region : {false, true}) {
+    for (const Candidate& it : ranked) {
+      const RegionId region = RegionOf(*input.regions, it.notice->zone);
+      if (relays.size() >= kRelays)
+        return relays;
+      if (Contains(relays, it.notice->id) ||
+          (Contains(used, region) && !any_region))
+        continue;
+      relays.push_back(it.notice->id);
+      used.push_back(region);
+    }
+  }
+  return relays;
+}
+
+bool UpdateFeedChoice(FeedChoice& choice, const FeedInput& input, Time now) {
+  const bool is_alone = CountAlive(*input.members, now) == 1;
+  if (is_alone && choice.source == FeedSource::kNone &&
+      now - input.started < kFirstChoice)
+    return false;
+  const bool had_relays = choice.source == FeedSource::kRelays;
+  const bool is_cut_off = had_relays && DropSilent(choice, now);
+  const auto relays = FindRelays(input, choice, now);
+  const bool is_relay = Contains(relays, input.members->self.id);
+  if (is_alone || is_cut_off || is_relay || relays.empty() ||
+      input.has_followers) {
+    choice.store_needed = now;
+    return ChooseStore(choice);
+  }
+  if (choice.source == FeedSource::kStore &&
+      now - choice.store_needed < kStoreStay)
+    return false;
+  return ChooseRelays(choice, relays, now);
+}
+
+void OnRelayHeard(FeedChoice& choice, const HostId& relay, Time now) {
+  const auto it = choice.relays.find(relay);
+  if (it != choice.relays.end())
+    it->second = now;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/routing/relay_choice.h
@@ -0,0 +1,69 @@
+// Who follows the store and who follows relays.
+//
+// Answers to: the store's prices and rates. Relays are computed alike by all
+// hosts that see the same members; hosts that see others do no harm, they only
+// call the store more often. Every other host follows two relays at once, so
+// that one which is cut off or frozen delays nothing.
+#ifndef ROUTING_RELAY_CHOICE_H_
+#define ROUTING_RELAY_CHOICE_H_
+
+#include <map>
+#include <vector>
+
+#include "routing/host_members.h"
+
+namespace sassafras {
+
+// Hosts that follow the store for all others.
+inline constexpr size_t kRelays = 2;
+// A relay that sends nothing for this long is left: three signs of life.
+inline constexpr Duration kRelaySilence = std::chrono::milliseconds(1300);
+// A relay that was left is not tried again for this long.
+inline constexpr Duration kRelayAvoided = std::chrono::seconds(4);
+// A host that followed the store goes on for this long when it need not.
+inline constexpr Duration kStoreStay = std::chrono::seconds(4);
+// At the start, other hosts may be heard within this time.
+inline constexpr Duration kFirstChoice = std::chrono::milliseconds(600);
+
+enum class FeedSource { kNone, kStore, kRelays };
+
+template <>
+struct NamesTable<FeedSource> {
+  static constexpr EnumName<FeedSource> kNames[] = {
+      {FeedSource::kNone, "none"},
+      {FeedSource::kStore, "store"},
+      {FeedSource::kRelays, "relays"},
+  };
+};
+
+struct FeedChoice {
+  FeedSource source = FeedSource::kNone;
+  // With kRelays: each with the time when it last sent anything.
+  std::map<HostId, Time> relays;
+  Time store_needed;  // When following the store was last necessary.
+  std::map<HostId, Time> avoided;  // Relays that were left, and when.
+};
+
+struct FeedInput {
+  const HostMembers* members = nullptr;
+  const std::map<ZoneId, RegionId>* regions = nullptr;
+  bool has_followers = false;  // Other hosts take this one for a relay.
+  Time started;                // Of the process.
+};
+
+// The relays among the hosts that are alive, reach the store, do not leave
+// and are not avoided; in different regions if there are several. May name
+// this host.
+std::vector<HostId> FindRelays(const FeedInput& input,
+                               const FeedChoice& choice,
+                               Time now);
+
+// Brings the choice up to date; true if it changed.
+bool UpdateFeedChoice(FeedChoice& choice, const FeedInput& input, Time now);
+
+// A relay has sent something.
+void OnRelayHeard(FeedChoice& choice, const HostId& relay, Time now);
+
+}  // namespace sassafras
+
+#endif  // ROUTING_RELAY_CHOICE_H_
--- a/src/routing/steering_config.cc
+++ b/src/routing/steering_config.cc
@@ -26,26 +26,26 @@
 void SortRoutes(SteeringConfig& config) {
   for (auto& [host, routes] : config.hosts) {
     std::stable_sort(routes.begin(), routes.end(),
-                     [](const Route& a, const Route& b) {
+                     [](const RequestRoute& a, const RequestRoute& b) {
                        return a.path_prefix.size() > b.path_prefix.size();
                      });
   }
 }
 
-const Route* FindRoute(const SteeringConfig& config,
+const RequestRoute* FindRoute(const SteeringConfig& config,
                        std::string_view host,
                        std::string_view path) {
   const auto it = config.hosts.find(HostName(host));
   if (it == config.hosts.end())
     return nullptr;
-  for (const Route& route : it->second) {
+  for (const RequestRoute& route : it->second) {
     if (BeginsWith(path, route.path_prefix))
       return &route;
   }
   return nullptr;
 }
 
-const ServiceId& ChooseService(const Route& route, uint64_t hash) {
+const ServiceId& ChooseService(const RequestRoute& route, uint64_t hash) {
   double total = 0;
   for (const SplitPart& it : route.parts)
     total += it.weight;
--- a/src/routing/steering_config.h
+++ b/src/routing/steering_config.h
@@ -40,7 +40,7 @@
   double weight = 1.0;
 };
 
-struct Route {
+struct RequestRoute {
   std::string name;
   std::string path_prefix;  // Begins and ends with a slash.
   RouteKind kind = RouteKind::kIdempotent;
@@ -73,7 +73,7 @@
   uint64_t version = 0;
   RequestLimits limits;
   // Routes of a host name, longest prefix first; see SortRoutes().
-  std::unordered_map<std::string, std::vector<Route>> hosts;
+  std::unordered_map<std::string, std::vector<RequestRoute>> hosts;
   std::unordered_map<ServiceId, ServiceConfig> services;
 };
 
@@ -82,13 +82,13 @@
 
 // The route with the longest prefix of `path` (without query) among those of
 // `host` (with or without port); null if there is none.
-const Route* FindRoute(const SteeringConfig& config,
+const RequestRoute* FindRoute(const SteeringConfig& config,
                        std::string_view host,
                        std::string_view path);
 
 // The service that a request of `route` goes to, by the parts' weights. The
 // same `hash` gives the same service as long as the parts stay.
-const ServiceId& ChooseService(const Route& route, uint64_t hash);
+const ServiceId& ChooseService(const RequestRoute& route, uint64_t hash);
 
 }  // namespace sassafras
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -25,19 +25,19 @@
   virtual void List(const StoreList& list, Done done) = 0;
   virtual void PutIf(const StorePut& put, Done done) = 0;
 
-  // Lists the kind and then follows its changes until the Watch is
-  // destroyed. `on_objects(objects, complete)` gets the whole list with
-  // `complete`, then changes; after an interruption possibly a whole list
-  // again. An object that was removed has revision zero.
+  // Lists the kind and then follows its changes until the Watch is destroyed;
+  // after an interruption possibly with a whole list again.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
-      std::function<void(std::vector<StoreObject>, bool)> on_objects) = 0;
+      std::function<void(StoreChange)> on_change) = 0;
 
   // Called when the store stops or begins to answer this process.
   void set_on_reachable(std::function<void(bool)> fn) {
     on_reachable_ = std::move(fn);
   }
 
+  bool is_reachable() const { return is_reachable_; }
+
  protected:
   // Reports whether a call was answered; tells the subscriber of changes.
   void SetReachable(bool reachable) {
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -86,13 +86,13 @@
 // Follows one kind: list, watch, and again after an interruption.
 class Follower : public Watch, public std::enable_shared_from_this<Follower> {
  public:
-  using OnObjects = std::function<void(std::vector<StoreObject>, bool)>;
+  using OnChange = std::function<void(StoreChange)>;
 
-  Follower(StoreClient& client, Loop& loop, std::string kind, OnObjects fn)
+  Follower(StoreClient& client, Loop& loop, std::string kind, OnChange fn)
       : client_(client),
         loop_(loop),
         kind_(std::move(kind)),
-        on_objects_(std::move(fn)) {}
+        on_change_(std::move(fn)) {}
   ~Follower() override;
 
   void ReadList();
@@ -107,7 +107,7 @@
   StoreClient& client_;
   Loop& loop_;
   std::string kind_;
-  OnObjects on_objects_;
+  OnChange on_change_;
   uint64_t revision_ = 0;
   std::string buffer_;
   bool broken_ = false;
@@ -127,11 +127,12 @@
         timeout_(timeout) {}
 
   void Get(const StoreGet& get, Done done) override {
-    Read(get.kind + "/" + get.name, std::move(done));
+    Read(get.kind + "/" + get.name, timeout_, std::move(done));
   }
 
   void List(const StoreList& list, Done done) override {
-    Read(list.kind, std::move(done));
+    Read(list.kind, list.timeout > Duration(0) ? list.timeout : timeout_,
+         std::move(done));
   }
 
   void PutIf(const StorePut& put, Done done) override {
@@ -143,24 +144,27 @@
           {"resourceVersion", std::to_string(put.expected_revision)}}}};
     body["spec"] = Json::parse(put.value, nullptr, false);
     transfer->SetJson("PUT", body.dump());
-    Start(std::move(transfer), true, std::move(done));
+    Start(std::move(transfer), timeout_, true, std::move(done));
   }
 
   std::unique_ptr<Watch> Follow(
       const std::string& kind,
-      std::function<void(std::vector<StoreObject>, bool)> on_objects) override;
+      std::function<void(StoreChange)> on_change) override;
 
   CurlDriver& driver() { return driver_; }
   const std::string& base() const { return base_; }
   std::chrono::milliseconds timeout() const { return timeout_; }
 
  private:
-  void Read(const std::string& path, Done done) {
-    Start(MakeHttpTransfer(base_ + path), false, std::move(done));
+  void Read(const std::string& path, Duration timeout, Done done) {
+    Start(MakeHttpTransfer(base_ + path), timeout, false, std::move(done));
   }
 
-  void Start(std::shared_ptr<HttpTransfer> transfer, bool is_write, Done done) {
-    transfer->SetTimeout(timeout_);
+  void Start(std::shared_ptr<HttpTransfer> transfer,
+             Duration timeout,
+             bool is_write,
+             Done done) {
+    transfer->SetTimeout(timeout);
     CURL* easy = transfer->easy;
     driver_.Add(easy, [transfer = std::move(transfer), is_write,
                        done = std::move(done)](CURLcode code) {
@@ -202,7 +206,7 @@
     const auto revision =
         json.at("metadata").at("resourceVersion").get<std::string>();
     revision_ = std::stoull(revision);
-    on_objects_(ObjectsOf(body), true);
+    on_change_({ObjectsOf(body), true, revision_});
   } catch (const std::exception& e) {
     LogLine(LogLevel::kWarning, "store", "List is malformed.")
         .With("kind", kind_)
@@ -262,11 +266,12 @@
       return;
     StoreObject object = ObjectOf(json.at("object"));
     revision_ = std::max(revision_, object.revision);
-    std::vector<StoreObject> objects;
-    objects.push_back(std::move(object));
-    loop_.Post([weak = weak_from_this(), objects = std::move(objects)] {
+    StoreChange change;
+    change.as_of = revision_;
+    change.objects.push_back(std::move(object));
+    loop_.Post([weak = weak_from_this(), change = std::move(change)] {
       if (const auto self = weak.lock())
-        self->on_objects_(objects, false);
+        self->on_change_(change);
     });
   } catch (const std::exception&) {
     broken_ = true;
@@ -294,9 +299,9 @@
 
 std::unique_ptr<Watch> StoreClient::Follow(
     const std::string& kind,
-    std::function<void(std::vector<StoreObject>, bool)> on_objects) {
+    std::function<void(StoreChange)> on_change) {
   auto follower =
-      std::make_shared<Follower>(*this, loop_, kind, std::move(on_objects));
+      std::make_shared<Follower>(*this, loop_, kind, std::move(on_change));
   follower->ReadList();
   return std::make_unique<FollowHandle>(std::move(follower));
 }
