Choose relays among hosts that know something

Cause: the process test on losses of relays failed: a host that started while the store was away took itself for a relay, or found none, and never became ready. The HTTP server held a request again whose client it had found gone.

Ruled out: a longer wait in the test (the host had no source to wait for).

Change: relays are the ready hosts that reach the store; if none does, the ready ones; any only at the start. A cut request is ended.

--- a/src/base/http_server.cc
+++ b/src/base/http_server.cc
@@ -85,6 +85,7 @@
   std::string path_;
   bool suspended_ = false;
   bool announced_ = false;
+  bool cut_ = false;
   bool headers_repeated_ = false;
   bool body_ended_ = false;
   Body body_mode_ = Body::kUndecided;
@@ -315,6 +316,7 @@
 }
 
 void SessionImpl::Cut() {
+  cut_ = true;
   const int fd = Fd();
   if (fd >= 0)
     ::shutdown(fd, SHUT_RDWR);
@@ -370,6 +372,9 @@
 }
 
 MHD_Result SessionImpl::OnCall(const char* data, size_t* size) {
+  // The library ends the connection; a call that waits would be held again.
+  if (cut_)
+    return MHD_NO;
   if (!announced_) {
     announced_ = true;
     server_.Announce(shared_from_this());
--- a/src/gateway/belief_feed.cc
+++ b/src/gateway/belief_feed.cc
@@ -85,6 +85,8 @@
       follows_.clear();
     if (choice_.source == FeedSource::kStore)
       FollowStore();
+    else
+      state_.members.self.reaches_store = true;  // Unknown from now on.
   }
   for (const auto& [relay, heard] : choice_.relays)
     mesh_->Send(relay, positions_[relay]);
@@ -151,7 +153,7 @@
       choice_.source == FeedSource::kStore && IsComplete(table_);
   const BeliefPush push =
       OnFollow(followers_, table_, from, follow, Doubt(), now);
-  if (is_relay && store_reachable_)
+  if (is_relay)
     mesh_->Send(from, push);
 }
 
--- a/src/routing/relay_choice.cc
+++ b/src/routing/relay_choice.cc
@@ -21,13 +21,32 @@
   return it != choice.avoided.end() && now - it->second < kRelayAvoided;
 }
 
+enum class Tier {
+  kReachesStore,  // Knows everything and learns what is new.
+  kReady,         // Knows what was; better than nothing.
+  kAny,           // May know nothing yet.
+};
+
+bool IsInTier(const HostNotice& host, Tier tier) {
+  switch (tier) {
+    case Tier::kReachesStore:
+      return host.phase == HostPhase::kReady && host.reaches_store;
+    case Tier::kReady:
+      return host.phase == HostPhase::kReady;
+    case Tier::kAny:
+      return host.phase != HostPhase::kLeaving;
+  }
+  return false;
+}
+
 std::vector<Candidate> RankCandidates(const FeedInput& input,
                                       const FeedChoice& choice,
+                                      Tier tier,
                                       Time now) {
   const uint64_t seed = HashText(kTopic);
   std::vector<Candidate> out;
   const auto add = [&](const HostNotice& it) {
-    if (it.phase != HostPhase::kLeaving && it.reaches_store)
+    if (IsInTier(it, tier))
       out.push_back({HashText(it.id.value(), seed), &it});
   };
   add(input.members->self);
@@ -96,7 +115,11 @@
 std::vector<HostId> FindRelays(const FeedInput& input,
                                const FeedChoice& choice,
                                Time now) {
-  const auto ranked = RankCandidates(input, choice, now);
+  std::vector<Candidate> ranked;
+  for (const Tier it : {Tier::kReachesStore, Tier::kReady, Tier::kAny}) {
+    if (ranked.empty())
+      ranked = RankCandidates(input, choice, it, now);
+  }
   std::vector<HostId> relays;
   std::vector<RegionId> used;
   // A second pass fills up from regions that have one already.
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -51,8 +51,9 @@
   Time started;                // Of the process.
 };
 
-// The relays among the hosts that are alive, reach the store, do not leave
-// and are not avoided; in different regions if there are several. May name
+// The relays among the hosts that are alive and not avoided, in different
+// regions if there are several: those that are ready and reach the store; if
+// none does, those that are ready; at the start of the system, any. May name
 // this host.
 std::vector<HostId> FindRelays(const FeedInput& input,
                                const FeedChoice& choice,
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -94,6 +94,30 @@
   EXPECT_EQ(std::count(after.begin(), after.end(), before[0]), 0);
 }
 
+// Seen: a host that started while no host reached the store had no one to
+// learn from and never became ready.
+TEST(RelayChoiceTest, RelaysThatLostTheStoreAreBetterThanNone) {
+  HostMembers members = View(Follower(), 18, kStart);
+  members.self.reaches_store = false;
+  for (auto& [id, member] : members.others)
+    member.notice.reaches_store = false;
+  const FeedInput input{&members, &kRegions, false, kStart};
+  FeedChoice choice;
+  UpdateFeedChoice(choice, input, kStart);
+  EXPECT_EQ(choice.source, FeedSource::kRelays);
+  EXPECT_EQ(choice.relays.size(), kRelays);
+}
+
+// Seen: a host that had just started took itself for a relay.
+TEST(RelayChoiceTest, HostThatKnowsNothingYetIsNoRelay) {
+  HostMembers members = View(Follower(), 18, kStart);
+  const FeedInput input{&members, &kRegions, false, kStart};
+  const auto before = FindRelays(input, {}, kStart);
+  members.others[before[0]].notice.phase = HostPhase::kStarting;
+  const auto after = FindRelays(input, {}, kStart);
+  EXPECT_EQ(std::count(after.begin(), after.end(), before[0]), 0);
+}
+
 TEST(RelayChoiceTest, SilentRelayIsLeftAndTheOtherKept) {
   HostMembers members = View(Follower(), 18, kStart);
   const FeedInput input{&members, &kRegions, false, kStart};
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -361,7 +361,8 @@
   // The HTTP library ends only when no request is held.
   store_->EndWatches();
   RunUntil(std::chrono::milliseconds(50), [] { return false; });
-  std::filesystem::remove_all(folder_);
+  if (!std::getenv("KEEP"))
+    std::filesystem::remove_all(folder_);
 }
 
 Address PlatformWorld::HostAddress(int index, uint16_t port) const {
