Keep objects in their callers' region; shrink gossip

Gossip alone sent whole notices of all hosts to three hosts each 0.4 s; and objects lay anywhere, though 95 in 100 requests for one come from one region.

Change: each region gets its part of an object space by weighted rendezvous hashing, at home as far as its slots go for its zones' share of callers. Gossip sends counts in place of whole notices once they are no news, two of three hosts in its own region.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -170,7 +170,7 @@
   for (const EndpointPtr& it : tried_)
     query.tried.push_back(it.get());
   const Placement placement =
-      PlaceRequest(state_.endpoints, *config_, state_.pacing, query, now);
+      PlaceRequest(state_.endpoints, state_.placement, query, now);
   load_seen_ = placement.load;
   if (!placement.endpoint) {
     Refuse(NameOf(placement.reason).data(),
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,6 +66,12 @@
     self.incarnation = StartStamp();
     self.cpu_share = settings.cpu_share;
     state_.members.random.seed(state_.random());
+    state_.placement.own_region = settings.region;
+    // Callers are spread over the availability zones.
+    for (const auto& [zone, region] : settings.regions) {
+      state_.placement.caller_shares[region] +=
+          1.0 / static_cast<double>(settings.regions.size());
+    }
   }
 
   int Run() {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -33,7 +33,7 @@
   std::shared_ptr<const SteeringConfig> config;
   EndpointSet endpoints;
   HostMembers members;
-  WarmupPacing pacing;
+  PlacementContext placement;
   AdmissionState admission;
   std::unordered_map<ServiceId, RetryAllowance> retries;
   EndpointPool pool;
@@ -44,7 +44,7 @@
   // Requests that callers wait for.
   size_t open_exchanges = 0;
 
-  size_t AliveHosts() const { return pacing.host_hashes.size(); }
+  size_t AliveHosts() const { return placement.host_hashes.size(); }
 };
 
 }  // namespace sassafras
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -61,18 +61,25 @@
 
 }  // namespace
 
-std::string EncodeNotices(const std::vector<HostNotice>& notices) {
-  Json items = Json::array();
-  for (const HostNotice& it : notices) {
-    if (items.size() < kMostNotices)
-      items.push_back(ToItems(it));
+std::string EncodeGossip(const GossipMessage& message) {
+  Json notices = Json::array();
+  for (const HostNotice& it : message.notices) {
+    if (notices.size() < kMostNotices)
+      notices.push_back(ToItems(it));
+  }
+  Json beats = Json::array();
+  for (const BeatNotice& it : message.beats) {
+    beats.push_back(it.id_hash);
+    beats.push_back(it.beat);
   }
   std::string out;
-  Json::to_cbor(Json::array({kProtocolVersion, std::move(items)}), out);
+  Json::to_cbor(
+      Json::array({kProtocolVersion, std::move(notices), std::move(beats)}),
+      out);
   return out;
 }
 
-Result<std::vector<HostNotice>> DecodeNotices(std::string_view bytes) {
+Result<GossipMessage> DecodeGossip(std::string_view bytes) {
   const auto fail = [](const std::string& reason) {
     return leaf::new_error(
         Error{ErrorCode::kBadInput, "decode gossip", "host", reason});
@@ -81,9 +88,14 @@
     const Json json = Json::from_cbor(bytes.begin(), bytes.end());
     if (json.at(0).get<int>() != kProtocolVersion)
       return fail("another protocol version");
-    std::vector<HostNotice> out;
+    GossipMessage out;
     for (const Json& it : json.at(1))
-      out.push_back(FromItems(it));
+      out.notices.push_back(FromItems(it));
+    const Json& beats = json.at(2);
+    for (size_t i = 0; i + 1 < beats.size(); i += 2) {
+      out.beats.push_back(
+          {beats[i].get<uint32_t>(), beats[i + 1].get<uint64_t>()});
+    }
     return out;
   } catch (const std::exception& e) {
     return fail(e.what());
@@ -115,34 +127,41 @@
     const ssize_t n = ::recv(socket_.fd(), buf.data(), buf.size(), 0);
     if (n < 0)
       return;
-    const auto notices = TryOr(
-        [&] { return DecodeNotices({buf.data(), static_cast<size_t>(n)}); },
+    const GossipMessage message = TryOr(
+        [&] { return DecodeGossip({buf.data(), static_cast<size_t>(n)}); },
         [](const Error& e) {
           LogLine(LogLevel::kWarning, "members", "Gossip is malformed.")
               .With("reason", e.reason);
-          return std::vector<HostNotice>();
+          return GossipMessage();
         });
     const Time now = state_.loop.Now();
-    for (const HostId& it : OnNotices(state_.members, notices, now)) {
+    const GossipNews news = OnGossip(state_.members, message, now);
+    for (const HostId& it : news.back)
       LogLine(LogLevel::kInfo, "members", "Host is heard.").With("host", it);
-      UpdatePacing();
-    }
+    if (!news.back.empty())
+      UpdateAlive();
+    if (news.is_sender_new)
+      Send(WholeMessage(state_.members, now), {message.notices.front().ip});
   }
 }
 
 void Gossip::OnTick() {
-  UpdatePacing();
-  SendRound(NextRound(state_.members, state_.settings.seed_ips,
-                      state_.loop.Now()));
+  UpdateAlive();
+  const GossipRound round =
+      NextRound(state_.members, state_.settings.seed_ips,
+                state_.settings.regions, state_.loop.Now());
+  Send(round.message, round.to_ips);
+  if (!round.whole_to_ip.empty())
+    Send(round.whole, {round.whole_to_ip});
   if (on_tick_)
     on_tick_();
 }
 
-void Gossip::UpdatePacing() {
+void Gossip::UpdateAlive() {
   const Time now = state_.loop.Now();
-  state_.pacing.own_hash = HashText(state_.members.self.id.value());
-  state_.pacing.host_hashes = AliveHashes(state_.members, now);
-  const size_t alive = state_.pacing.host_hashes.size();
+  state_.placement.own_hash = HashText(state_.members.self.id.value());
+  state_.placement.host_hashes = AliveHashes(state_.members, now);
+  const size_t alive = state_.placement.host_hashes.size();
   if (alive == alive_)
     return;
   LogLine(LogLevel::kInfo, "members", "Hosts alive changed.")
@@ -152,12 +171,14 @@
 }
 
 void Gossip::Announce() {
-  SendRound(UrgentRound(state_.members, state_.loop.Now()));
+  const GossipRound round = UrgentRound(state_.members, state_.loop.Now());
+  Send(round.message, round.to_ips);
 }
 
-void Gossip::SendRound(const GossipRound& round) {
-  const std::string bytes = EncodeNotices(round.notices);
-  for (const std::string& ip : round.to_ips) {
+void Gossip::Send(const GossipMessage& message,
+                  const std::vector<std::string>& to_ips) {
+  const std::string bytes = EncodeGossip(message);
+  for (const std::string& ip : to_ips) {
     const sockaddr_in to = SockaddrOf(ip, state_.settings.gossip_port);
     const ssize_t n =
         ::sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -16,9 +16,9 @@
 
 namespace sassafras {
 
-// One datagram of notices.
-std::string EncodeNotices(const std::vector<HostNotice>& notices);
-Result<std::vector<HostNotice>> DecodeNotices(std::string_view bytes);
+// One datagram.
+std::string EncodeGossip(const GossipMessage& message);
+Result<GossipMessage> DecodeGossip(std::string_view bytes);
 
 class Gossip {
  public:
@@ -35,8 +35,9 @@
  private:
   void OnReadable();
   void OnTick();
-  void SendRound(const GossipRound& round);
-  void UpdatePacing();
+  void Send(const GossipMessage& message,
+            const std::vector<std::string>& to_ips);
+  void UpdateAlive();
 
   GatewayState& state_;
   Socket socket_;
--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -14,16 +14,45 @@
   return std::tie(a.incarnation, a.beat) > std::tie(b.incarnation, b.beat);
 }
 
-std::vector<HostNotice> NoticesToSend(const HostMembers& members, Time now) {
-  std::vector<HostNotice> out = {members.self};
+bool IsSameButForBeat(const HostNotice& a, const HostNotice& b) {
+  return a.incarnation == b.incarnation && a.phase == b.phase &&
+         a.config_version == b.config_version &&
+         a.reaches_store == b.reaches_store && a.ip == b.ip;
+}
+
+// Whole notices of what has changed lately, counts of all others.
+GossipMessage MessageToSend(const HostMembers& members, Time now) {
+  GossipMessage out;
+  out.notices.push_back(members.self);
   for (const auto& [id, member] : members.others) {
     // The count of a silent host says nothing new.
-    if (IsAlive(member, now))
-      out.push_back(member.notice);
+    if (!IsAlive(member, now))
+      continue;
+    if (now - member.changed < kNewsTime)
+      out.notices.push_back(member.notice);
+    else
+      out.beats.push_back({ShortHash(id), member.notice.beat});
   }
   return out;
 }
 
+// Takes up to `n` of `ips` at random.
+std::vector<std::string> Sample(std::vector<std::string> ips,
+                                size_t n,
+                                std::mt19937_64& random) {
+  // The map's order must not matter.
+  std::sort(ips.begin(), ips.end());
+  std::shuffle(ips.begin(), ips.end(), random);
+  ips.resize(std::min(ips.size(), n));
+  return ips;
+}
+
+RegionId RegionOf(const std::map<ZoneId, RegionId>& regions,
+                  const ZoneId& zone) {
+  const auto it = regions.find(zone);
+  return it == regions.end() ? RegionId() : it->second;
+}
+
 void Forget(HostMembers& members, Time now) {
   for (auto it = members.others.begin(); it != members.others.end();) {
     if (now - it->second.heard > kHostForgotten)
@@ -49,28 +78,54 @@
   return now - member.heard < kHostSilence;
 }
 
+uint32_t ShortHash(const HostId& id) {
+  return static_cast<uint32_t>(HashText(id.value()));
+}
+
+GossipMessage WholeMessage(const HostMembers& members, Time now) {
+  GossipMessage out;
+  out.notices.push_back(members.self);
+  for (const auto& [id, member] : members.others) {
+    if (IsAlive(member, now))
+      out.notices.push_back(member.notice);
+  }
+  return out;
+}
+
 GossipRound NextRound(HostMembers& members,
                       const std::vector<std::string>& seed_ips,
+                      const std::map<ZoneId, RegionId>& regions,
                       Time now) {
   Forget(members, now);
   ++members.self.beat;
   GossipRound round;
-  std::vector<std::string> alive;
+  std::vector<std::string> near;
+  std::vector<std::string> far;
   std::vector<std::string> silent;
-  for (const auto& [id, member] : members.others)
-    (IsAlive(member, now) ? alive : silent).push_back(member.notice.ip);
-  // Only the chosen ones need an order.
-  std::sort(alive.begin(), alive.end());
-  std::shuffle(alive.begin(), alive.end(), members.random);
-  alive.resize(std::min(alive.size(), kGossipFanout));
-  round.to_ips = std::move(alive);
+  const RegionId own = RegionOf(regions, members.self.zone);
+  for (const auto& [id, member] : members.others) {
+    const bool is_near = RegionOf(regions, member.notice.zone) == own;
+    auto& list = !IsAlive(member, now) ? silent : is_near ? near : far;
+    list.push_back(member.notice.ip);
+  }
+  round.to_ips = Sample(std::move(far), kFarFanout, members.random);
+  for (std::string& it : Sample(
+           std::move(near), kGossipFanout - round.to_ips.size(),
+           members.random))
+    round.to_ips.push_back(std::move(it));
+  const bool is_whole_turn = members.self.beat % kWholeRounds == 0;
+  if (is_whole_turn && !round.to_ips.empty()) {
+    round.whole_to_ip = round.to_ips.back();
+    round.to_ips.pop_back();
+    round.whole = WholeMessage(members, now);
+  }
   if (!silent.empty())
     round.to_ips.push_back(silent[members.random() % silent.size()]);
   for (const std::string& it : seed_ips) {
     if (!IsKnown(members, it, now))
       round.to_ips.push_back(it);
   }
-  round.notices = NoticesToSend(members, now);
+  round.message = MessageToSend(members, now);
   return round;
 }
 
@@ -82,39 +137,58 @@
       round.to_ips.push_back(member.notice.ip);
   }
   // The news is this host's; what it knows of others can wait.
-  round.notices = {members.self};
+  round.message.notices = {members.self};
   return round;
 }
 
-std::vector<HostId> OnNotices(HostMembers& members,
-                              const std::vector<HostNotice>& notices,
-                              Time now) {
-  std::vector<HostId> back;
-  for (const HostNotice& it : notices) {
+GossipNews OnGossip(HostMembers& members,
+                    const GossipMessage& message,
+                    Time now) {
+  GossipNews news;
+  if (!message.notices.empty()) {
+    const HostId& sender = message.notices.front().id;
+    news.is_sender_new =
+        sender != members.self.id && members.others.count(sender) == 0;
+  }
+  for (const HostNotice& it : message.notices) {
     if (it.id == members.self.id)
       continue;
     const auto known = members.others.find(it.id);
     if (known == members.others.end()) {
-      members.others[it.id] = {it, now};
-      back.push_back(it.id);
+      members.others[it.id] = {it, now, now};
+      news.back.push_back(it.id);
       continue;
     }
     Member& member = known->second;
     if (!IsNewer(it, member.notice))
       continue;
     if (!IsAlive(member, now))
-      back.push_back(it.id);
+      news.back.push_back(it.id);
+    if (!IsSameButForBeat(it, member.notice))
+      member.changed = now;
     member.notice = it;
     member.heard = now;
   }
-  return back;
+  std::unordered_map<uint32_t, uint64_t> beats;
+  for (const BeatNotice& it : message.beats)
+    beats[it.id_hash] = it.beat;
+  for (auto& [id, member] : members.others) {
+    const auto it = beats.find(ShortHash(id));
+    // A count of an earlier start says nothing about a host that came back.
+    if (it == beats.end() || it->second <= member.notice.beat ||
+        !IsAlive(member, now))
+      continue;
+    member.notice.beat = it->second;
+    member.heard = now;
+  }
+  return news;
 }
 
 void Introduce(HostMembers& members, const HostNotice& notice, Time now) {
   if (notice.id == members.self.id || members.others.count(notice.id) > 0)
     return;
   // Its record may be old: it counts as silent until it is heard.
-  members.others[notice.id] = {notice, now - kHostSilence};
+  members.others[notice.id] = {notice, now - kHostSilence, now};
 }
 
 size_t CountAlive(const HostMembers& members, Time now) {
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -7,6 +7,7 @@
 #define ROUTING_HOST_MEMBERS_H_
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -52,9 +53,19 @@
 
 struct Member {
   HostNotice notice;
-  Time heard;  // When its count last grew, or was first seen.
+  Time heard;    // When its count last grew, or was first seen.
+  Time changed;  // When anything but its count last changed.
 };
 
+// The count of a host that is known, in place of its whole notice.
+struct BeatNotice {
+  uint32_t id_hash = 0;  // See ShortHash().
+  uint64_t beat = 0;
+};
+
+// Tells the hosts of a deployment apart in short notices.
+uint32_t ShortHash(const HostId& id);
+
 struct HostMembers {
   HostNotice self;
   std::unordered_map<HostId, Member> others;
@@ -64,37 +75,59 @@
 inline constexpr Duration kGossipPeriod = std::chrono::milliseconds(400);
 // Hosts that one round of gossip goes to.
 inline constexpr size_t kGossipFanout = 3;
+// Of these, the most that lie in other regions: bytes between regions are
+// dear, and news needs only a few rounds more.
+inline constexpr size_t kFarFanout = 1;
 // A host whose count has not grown for this long is taken as gone: several
 // rounds, so that lost datagrams do not remove a host.
 inline constexpr Duration kHostSilence = std::chrono::milliseconds(3000);
 // A silent host is still greeted now and then until it is forgotten.
 inline constexpr Duration kHostForgotten = std::chrono::seconds(60);
 
-// What one round sends: the notices to these IP numbers.
+// Notices are sent whole for this long after a change, later as counts.
+inline constexpr Duration kNewsTime = std::chrono::seconds(4);
+// Every so many rounds, all notices are sent whole to one host, so that a
+// host which has missed the news learns of all others.
+inline constexpr uint64_t kWholeRounds = 8;
+
+// What one host tells another.
+struct GossipMessage {
+  std::vector<HostNotice> notices;  // The sender's own comes first.
+  std::vector<BeatNotice> beats;
+};
+
+// What one round sends, and to which IP numbers.
 struct GossipRound {
   std::vector<std::string> to_ips;
-  std::vector<HostNotice> notices;
+  GossipMessage message;
+  // Gets all notices whole instead; empty: nobody.
+  std::string whole_to_ip;
+  GossipMessage whole;
 };
 
 // A new round: counts the own heartbeat. `seed_ips` are greeted as long as
 // they are unknown.
 GossipRound NextRound(HostMembers& members,
                       const std::vector<std::string>& seed_ips,
+                      const std::map<ZoneId, RegionId>& regions,
                       Time now);
 
 // A round to every known host, for a change that must not wait.
 GossipRound UrgentRound(HostMembers& members, Time now);
 
-// A member whose presence changed, for the log.
-struct MemberChange {
-  HostId id;
-  bool is_back = false;
+// What a message taught.
+struct GossipNews {
+  std::vector<HostId> back;  // Hosts that were unknown or silent.
+  // The sender was unknown: it should get all notices whole.
+  bool is_sender_new = false;
 };
 
-// Takes notices that another host sent.
-std::vector<HostId> OnNotices(HostMembers& members,
-                              const std::vector<HostNotice>& notices,
-                              Time now);
+GossipNews OnGossip(HostMembers& members,
+                    const GossipMessage& message,
+                    Time now);
+
+// All notices of hosts that are alive, whole.
+GossipMessage WholeMessage(const HostMembers& members, Time now);
 
 // A host that another source names, such as the registry of hosts.
 void Introduce(HostMembers& members, const HostNotice& notice, Time now);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -1,7 +1,8 @@
 #include "routing/placement.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -18,9 +19,17 @@
 // At most this share of a service's endpoints stays ejected.
 constexpr double kMostEjected = 0.5;
 
+// Of these, the most that lie in the first region.
+constexpr size_t kHomeCandidates = 2;
+// A region without spare capacity still comes last for some objects.
+constexpr double kLeastPart = 1e-3;
+constexpr double kLeastUnit = 1e-12;
+constexpr uint64_t kRegionSeed = 1;
+
 struct Candidate {
   const EndpointPtr* endpoint = nullptr;
-  uint64_t rank = 0;
+  uint64_t rank = 0;       // Within its region.
+  double region_rank = 0;  // Of its region.
 };
 
 bool IsAllowed(const RequestRoute& route, const EndpointView& endpoint) {
@@ -35,51 +44,91 @@
 }
 
 // Whether this host is among those that may send to the cold endpoint.
-bool IsWarmupSender(const WarmupPacing& pacing, const EndpointView& endpoint) {
-  const uint64_t own = HashPair(endpoint.hash, pacing.own_hash);
+bool IsWarmupSender(const PlacementContext& context, const EndpointView& endpoint) {
+  const uint64_t own = HashPair(endpoint.hash, context.own_hash);
   size_t ahead = 0;
-  for (const uint64_t it : pacing.host_hashes) {
+  for (const uint64_t it : context.host_hashes) {
     if (HashPair(endpoint.hash, it) > own && ++ahead >= kWarmupSenders)
       return false;
   }
   return true;
 }
 
-bool MaySendCold(const WarmupPacing& pacing,
+bool MaySendCold(const PlacementContext& context,
                  const EndpointView& endpoint,
                  Time now) {
-  return now >= endpoint.next_cold_send && IsWarmupSender(pacing, endpoint);
+  return now >= endpoint.next_cold_send && IsWarmupSender(context, endpoint);
 }
 
 using Candidates = std::vector<Candidate>;
 
+bool IsAvailable(const EndpointSet& set,
+                 const EndpointView& endpoint,
+                 const PlacementContext& context,
+                 const PlacementRequest& request,
+                 bool with_ejected,
+                 Time now) {
+  if (!IsUsable(set, endpoint, now) || !IsAllowed(*request.route, endpoint) ||
+      IsTried(request, endpoint))
+    return false;
+  if (!with_ejected && now < endpoint.ejected_until)
+    return false;
+  return !IsCold(endpoint, now) || MaySendCold(context, endpoint, now);
+}
+
+// Rank of a region for an object: weighted rendezvous hashing, so that a
+// change of the parts moves few objects.
+double RegionRank(uint64_t key, const RegionId& region, double part) {
+  const double unit =
+      UnitInterval(HashPair(key, HashText(region.value(), kRegionSeed)));
+  return part / -std::log(std::max(unit, kLeastUnit));
+}
+
+// Keeps the endpoints that come first for the object: those of the region
+// that it falls to, then one of the next region.
+Candidates TakeFirst(Candidates all, const std::map<RegionId, double>& parts,
+                     uint64_t key) {
+  for (Candidate& it : all) {
+    if (parts.empty())
+      break;
+    const RegionId& region = (*it.endpoint)->record.region;
+    const auto part = parts.find(region);
+    it.region_rank = RegionRank(
+        key, region, part == parts.end() ? kLeastPart
+                                         : std::max(part->second, kLeastPart));
+  }
+  std::sort(all.begin(), all.end(), [](const Candidate& a, const Candidate& b) {
+    return a.region_rank != b.region_rank ? a.region_rank > b.region_rank
+                                          : a.rank > b.rank;
+  });
+  Candidates out;
+  for (size_t i = 0; i < all.size() && out.size() < kCandidates; ++i) {
+    const bool is_home = all[i].region_rank == all[0].region_rank;
+    if (!is_home || out.size() < kHomeCandidates)
+      out.push_back(all[i]);
+  }
+  // A region that is alone gives all candidates.
+  for (size_t i = kHomeCandidates; i < all.size() && out.size() < kCandidates;
+       ++i)
+    out.push_back(all[i]);
+  return out;
+}
+
 Candidates FindCandidates(const EndpointSet& set,
                           const std::vector<EndpointPtr>& endpoints,
-                          const WarmupPacing& pacing,
+                          const PlacementContext& context,
                           const PlacementRequest& request,
                           bool with_ejected,
                           Time now) {
   const uint64_t key = request.affinity_key.empty()
                            ? request.random
                            : HashText(request.affinity_key);
-  Candidates out;
+  Candidates all;
   for (const EndpointPtr& it : endpoints) {
-    if (!IsUsable(set, *it, now) || !IsAllowed(*request.route, *it) ||
-        IsTried(request, *it))
-      continue;
-    if (!with_ejected && now < it->ejected_until)
-      continue;
-    if (IsCold(*it, now) && !MaySendCold(pacing, *it, now))
-      continue;
-    out.push_back({&it, HashPair(key, it->hash)});
+    if (IsAvailable(set, *it, context, request, with_ejected, now))
+      all.push_back({&it, HashPair(key, it->hash), 0});
   }
-  const size_t n = std::min(kCandidates, out.size());
-  std::partial_sort(out.begin(), out.begin() + static_cast<ptrdiff_t>(n),
-                    out.end(), [](const Candidate& a, const Candidate& b) {
-                      return a.rank > b.rank;
-                    });
-  out.resize(n);
-  return out;
+  return TakeFirst(std::move(all), RegionParts(set, endpoints, context), key);
 }
 
 size_t CountEjected(const std::vector<EndpointPtr>& endpoints, Time now) {
@@ -120,9 +169,49 @@
 
 }  // namespace
 
+std::map<RegionId, double> RegionParts(
+    const EndpointSet& set,
+    const std::vector<EndpointPtr>& endpoints,
+    const PlacementContext& context) {
+  std::map<RegionId, double> capacity;
+  double total = 0;
+  for (const EndpointPtr& it : endpoints) {
+    const bool is_in_use = it->state == EndpointState::kReady ||
+                           it->state == EndpointState::kMissing;
+    if (!is_in_use || set.evacuated.count(it->record.zone) > 0)
+      continue;
+    capacity[it->record.region] += it->record.slots;
+    total += it->record.slots;
+  }
+  if (context.own_region.empty() || total <= 0)
+    return {};
+  // Of a region's share of the callers, what fits its share of the capacity
+  // stays at home; the rest goes where capacity is left over.
+  std::map<RegionId, double> parts;
+  double spare = 0;
+  for (const auto& [region, slots] : capacity) {
+    const auto it = context.caller_shares.find(region);
+    const double callers =
+        it == context.caller_shares.end() ? 0.0 : it->second;
+    parts[region] = std::max(0.0, slots / total - callers);
+    if (region != context.own_region)
+      spare += parts[region];
+  }
+  const auto own = context.caller_shares.find(context.own_region);
+  const double own_callers =
+      own == context.caller_shares.end() ? 0.0 : own->second;
+  const double at_home =
+      own_callers > 0
+          ? std::min(1.0, capacity[context.own_region] / total / own_callers)
+          : 1.0;
+  for (auto& [region, part] : parts)
+    part = spare > 0 ? (1.0 - at_home) * part / spare : 0.0;
+  parts[context.own_region] = at_home;
+  return parts;
+}
+
 Placement PlaceRequest(const EndpointSet& set,
-                       const SteeringConfig&,
-                       const WarmupPacing& pacing,
+                       const PlacementContext& context,
                        const PlacementRequest& request,
                        Time now) {
   const auto it = set.by_service.find(*request.service);
@@ -133,9 +222,9 @@
   const bool with_ejected =
       ejected > kMostEjected * static_cast<double>(endpoints.size());
   Candidates candidates =
-      FindCandidates(set, endpoints, pacing, request, with_ejected, now);
+      FindCandidates(set, endpoints, context, request, with_ejected, now);
   if (candidates.empty())
-    candidates = FindCandidates(set, endpoints, pacing, request, true, now);
+    candidates = FindCandidates(set, endpoints, context, request, true, now);
   if (candidates.empty())
     return {};
   Placement placement = request.affinity_key.empty() || !request.route->sticky
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -2,11 +2,14 @@
 //
 // Answers to: endpoints are about three times as fast on objects that they
 // have handled, so every host ranks the endpoints of a service alike for an
-// object and sends it to the first that has room.
+// object and sends it to the first that has room. Bytes between regions are
+// dear and slow, and an object is mostly asked for from one region, so objects
+// stay in the region of their callers as far as its endpoints can bear them.
 #ifndef ROUTING_PLACEMENT_H_
 #define ROUTING_PLACEMENT_H_
 
 #include <cstdint>
+#include <map>
 #include <string_view>
 #include <vector>
 
@@ -17,12 +20,17 @@
 
 namespace sassafras {
 
-// How this host takes part in the pacing of cold endpoints: the sum over all
-// hosts must stay under a bound, so only some hosts send to one of them.
-struct WarmupPacing {
+// What a host knows of itself and of the other hosts.
+struct PlacementContext {
   uint64_t own_hash = 0;  // Of this host's id.
-  // Hashes of the hosts that are alive, this one among them.
+  // Hashes of the hosts that are alive, this one among them. The pacing of
+  // cold endpoints is a bound on the sum over all hosts, so only some hosts
+  // send to one of them.
   std::vector<uint64_t> host_hashes;
+  RegionId own_region;  // Empty: regions are not told apart.
+  // Share of the callers that each region has, as far as the deployment's
+  // layout tells.
+  std::map<RegionId, double> caller_shares;
 };
 
 // Hosts that may send to one cold endpoint.
@@ -61,9 +69,16 @@
   double load = 0;       // Estimated requests on the endpoint.
 };
 
+// The part of the requests from `context.own_region` that each region's
+// endpoints of a service get: as much as possible at home, the rest where
+// there is more capacity than callers. Empty: regions are not told apart.
+std::map<RegionId, double> RegionParts(
+    const EndpointSet& set,
+    const std::vector<EndpointPtr>& endpoints,
+    const PlacementContext& context);
+
 Placement PlaceRequest(const EndpointSet& set,
-                       const SteeringConfig& config,
-                       const WarmupPacing& pacing,
+                       const PlacementContext& context,
                        const PlacementRequest& request,
                        Time now);
 
--- a/tests/routing/host_members_test.cc
+++ b/tests/routing/host_members_test.cc
@@ -14,6 +14,9 @@
 
 const Time kStart{seconds(1000)};
 
+const std::map<ZoneId, RegionId> kZones = {{ZoneId("a"), RegionId("ra")},
+                                           {ZoneId("b"), RegionId("rb")}};
+
 // Hosts that gossip with each other under a virtual clock; datagrams arrive
 // at once or not at all.
 struct World {
@@ -36,13 +39,21 @@
     }
   }
 
+  void DeliverTo(const std::string& ip, const GossipMessage& message,
+                 Time now) {
+    const bool lost = std::uniform_real_distribution<double>()(random) < loss;
+    if (is_down[ip] || lost)
+      return;
+    const GossipNews news = OnGossip(hosts[ip], message, now);
+    if (news.is_sender_new)
+      DeliverTo(message.notices.front().ip, WholeMessage(hosts[ip], now), now);
+  }
+
   void Deliver(const GossipRound& round, Time now) {
-    for (const std::string& ip : round.to_ips) {
-      const bool lost =
-          std::uniform_real_distribution<double>()(random) < loss;
-      if (!is_down[ip] && !lost)
-        OnNotices(hosts[ip], round.notices, now);
-    }
+    for (const std::string& ip : round.to_ips)
+      DeliverTo(ip, round.message, now);
+    if (!round.whole_to_ip.empty())
+      DeliverTo(round.whole_to_ip, round.whole, now);
   }
 
   void Run(Time& now, Duration time) {
@@ -51,7 +62,7 @@
       now += kGossipPeriod;
       for (auto& [ip, members] : hosts) {
         if (!is_down[ip])
-          Deliver(NextRound(members, {"10.0.0.0", "10.0.0.1"}, now), now);
+          Deliver(NextRound(members, {"10.0.0.0", "10.0.0.1"}, kZones, now), now);
       }
     }
   }
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -62,9 +62,9 @@
   for (int i = 0; i < 200; ++i) {
     const std::string key = std::to_string(i);
     const auto a =
-        PlaceRequest(one, {}, {}, Ask(route, key), kStart).endpoint;
+        PlaceRequest(one, {}, Ask(route, key), kStart).endpoint;
     const auto b =
-        PlaceRequest(other, {}, {}, Ask(route, key), kStart).endpoint;
+        PlaceRequest(other, {}, Ask(route, key), kStart).endpoint;
     ASSERT_TRUE(a && b);
     EXPECT_EQ(a->record.id, b->record.id);
     used.insert(a->record.id);
@@ -79,12 +79,12 @@
   for (int i = 0; i < 300; ++i) {
     const std::string key = std::to_string(i);
     before[key] =
-        PlaceRequest(set, {}, {}, Ask(route, key), kStart).endpoint->record.id;
+        PlaceRequest(set, {}, Ask(route, key), kStart).endpoint->record.id;
   }
   ApplyRemoval(set, EndpointId("e3"), kStart);
   for (const auto& [key, id] : before) {
     const auto now =
-        PlaceRequest(set, {}, {}, Ask(route, key), kStart).endpoint->record.id;
+        PlaceRequest(set, {}, Ask(route, key), kStart).endpoint->record.id;
     if (id != EndpointId("e3"))
       EXPECT_EQ(now, id);
     else
@@ -98,27 +98,88 @@
   route.home_regions = {RegionId("ra")};
   for (int i = 0; i < 50; ++i) {
     const auto placed =
-        PlaceRequest(set, {}, {}, Ask(route, std::to_string(i)), kStart);
+        PlaceRequest(set, {}, Ask(route, std::to_string(i)), kStart);
     ASSERT_TRUE(placed.endpoint);
     EXPECT_EQ(placed.endpoint->record.region, RegionId("ra"));
   }
   SetEvacuated(set, ZoneId("a"));
-  const auto placed = PlaceRequest(set, {}, {}, Ask(route, "1"), kStart);
+  const auto placed = PlaceRequest(set, {}, Ask(route, "1"), kStart);
   EXPECT_FALSE(placed.endpoint);
   EXPECT_EQ(placed.reason, PlacementReason::kNoEndpoint);
 }
 
+PlacementContext InRegion(const char* region) {
+  PlacementContext context;
+  context.own_region = RegionId(region);
+  context.caller_shares = {{RegionId("ra"), 0.5}, {RegionId("rb"), 0.5}};
+  return context;
+}
+
+TEST(PlacementTest, ObjectsStayInTheirCallersRegionWhereItCanBearThem) {
+  const EndpointSet set = MakeSet(16);
+  const RequestRoute route = StickyRoute();
+  for (int i = 0; i < 100; ++i) {
+    const auto placed = PlaceRequest(set, InRegion("ra"),
+                                     Ask(route, std::to_string(i)), kStart);
+    ASSERT_TRUE(placed.endpoint);
+    EXPECT_EQ(placed.endpoint->record.region, RegionId("ra"));
+  }
+}
+
+// Three quarters of the slots lie in one region; each region's endpoints get
+// the part of all requests that is their part of the slots.
+TEST(PlacementTest, RegionShortOfEndpointsSendsTheRestElsewhere) {
+  EndpointSet set = MakeSet(16);
+  for (const char* it : {"e1", "e3", "e5", "e7"})
+    ApplyRemoval(set, EndpointId(it), kStart);
+  const RequestRoute route = StickyRoute();
+  std::map<RegionId, double> got;
+  constexpr int kObjects = 4000;
+  for (const char* from : {"ra", "rb"}) {
+    for (int i = 0; i < kObjects; ++i) {
+      const auto placed =
+          PlaceRequest(set, InRegion(from),
+                       Ask(route, from + std::to_string(i)), kStart);
+      got[placed.endpoint->record.region] += 1.0 / (2 * kObjects);
+    }
+  }
+  EXPECT_NEAR(got[RegionId("ra")], 4.0 / 12, 0.03);
+  EXPECT_NEAR(got[RegionId("rb")], 8.0 / 12, 0.03);
+}
+
+// An endpoint that comes moves few objects between regions: the pages allow
+// 0.15 of a region's requests within two seconds.
+TEST(PlacementTest, ChangeOfCapacityMovesFewObjectsBetweenRegions) {
+  EndpointSet set = MakeSet(17);
+  ApplyRemoval(set, EndpointId("e1"), kStart);
+  const RequestRoute route = StickyRoute();
+  const auto region_of = [&](int i) {
+    return PlaceRequest(set, InRegion("ra"), Ask(route, std::to_string(i)),
+                        kStart)
+        .endpoint->record.region;
+  };
+  constexpr int kObjects = 2000;
+  std::vector<RegionId> before;
+  for (int i = 0; i < kObjects; ++i)
+    before.push_back(region_of(i));
+  ApplyRemoval(set, EndpointId("e3"), kStart);
+  int moved = 0;
+  for (int i = 0; i < kObjects; ++i)
+    moved += region_of(i) != before[static_cast<size_t>(i)];
+  EXPECT_LE(moved, kObjects * 15 / 100);
+}
+
 TEST(PlacementTest, EndpointThatWasTriedIsNotTriedAgain) {
   const EndpointSet set = MakeSet(2);
   const RequestRoute route = StickyRoute();
   PlacementRequest request = Ask(route, "k");
-  const auto first = PlaceRequest(set, {}, {}, request, kStart).endpoint;
+  const auto first = PlaceRequest(set, {}, request, kStart).endpoint;
   request.tried.push_back(first.get());
-  const auto second = PlaceRequest(set, {}, {}, request, kStart).endpoint;
+  const auto second = PlaceRequest(set, {}, request, kStart).endpoint;
   ASSERT_TRUE(second);
   EXPECT_NE(first, second);
   request.tried.push_back(second.get());
-  EXPECT_FALSE(PlaceRequest(set, {}, {}, request, kStart).endpoint);
+  EXPECT_FALSE(PlaceRequest(set, {}, request, kStart).endpoint);
 }
 
 TEST(PlacementTest, EjectionNeverRemovesAllEndpoints) {
@@ -128,18 +189,18 @@
     OnFailure(*endpoint, kStart);
   }
   const RequestRoute route = StickyRoute();
-  EXPECT_TRUE(PlaceRequest(set, {}, {}, Ask(route, "k"), kStart).endpoint);
+  EXPECT_TRUE(PlaceRequest(set, {}, Ask(route, "k"), kStart).endpoint);
 }
 
 TEST(PlacementTest, EjectedEndpointIsPassedOver) {
   EndpointSet set = MakeSet(8);
   const RequestRoute route = StickyRoute();
-  const auto first = PlaceRequest(set, {}, {}, Ask(route, "k"), kStart).endpoint;
+  const auto first = PlaceRequest(set, {}, Ask(route, "k"), kStart).endpoint;
   OnFailure(*first, kStart);
   OnFailure(*first, kStart);
-  EXPECT_NE(PlaceRequest(set, {}, {}, Ask(route, "k"), kStart).endpoint, first);
+  EXPECT_NE(PlaceRequest(set, {}, Ask(route, "k"), kStart).endpoint, first);
   EXPECT_EQ(
-      PlaceRequest(set, {}, {}, Ask(route, "k"), kStart + seconds(1)).endpoint,
+      PlaceRequest(set, {}, Ask(route, "k"), kStart + seconds(1)).endpoint,
       first);
 }
 
@@ -152,7 +213,7 @@
   constexpr double kBound = kPerSecond * 1.5 + 5;
   const SteeringConfig config = ConfigWithWarmup(kPerSecond);
   std::vector<EndpointSet> hosts;
-  std::vector<WarmupPacing> pacing(kHosts);
+  std::vector<PlacementContext> pacing(kHosts);
   std::vector<uint64_t> hashes;
   for (size_t i = 0; i < kHosts; ++i)
     hashes.push_back(HashText("host" + std::to_string(i)));
@@ -167,7 +228,7 @@
   for (Time now = kStart; now < kStart + seconds(20); now += milliseconds(5)) {
     for (size_t i = 0; i < kHosts; ++i) {
       const auto placed =
-          PlaceRequest(hosts[i], config, pacing[i], Ask(route, "k"), now);
+          PlaceRequest(hosts[i], pacing[i], Ask(route, "k"), now);
       if (!placed.endpoint)
         continue;
       OnPlaced(config, *placed.endpoint, now);
