--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -21,6 +21,9 @@
 
 // Of these, the most that lie in the first region.
 constexpr size_t kHomeCandidates = 2;
+// Share of the objects that stay at home if they can; the others lie anywhere,
+// so that a region whose callers are all busy at once is relieved.
+constexpr double kHomeBias = 0.6;
 // A region without spare capacity still comes last for some objects.
 constexpr double kLeastPart = 1e-3;
 constexpr double kLeastUnit = 1e-12;
@@ -207,6 +210,8 @@
   for (auto& [region, part] : parts)
     part = spare > 0 ? (1.0 - at_home) * part / spare : 0.0;
   parts[context.own_region] = at_home;
+  for (auto& [region, part] : parts)
+    part = kHomeBias * part + (1.0 - kHomeBias) * capacity[region] / total;
   return parts;
 }
 
