Let a follower catch up though changes never pause

Its relay took each change that it pushed for the answer that was under way, so the newcomer never got the whole state.

Ruled out: a store that was slow (other hosts had the version within 0.1 s of the first).

Change: a relay sends again what a follower lacks when the follower's own position has not moved for 0.7 s, or another start of it asks.

--- a/src/routing/belief_table.cc
+++ b/src/routing/belief_table.cc
@@ -180,22 +180,25 @@
                     const BeliefFollow& follow,
                     Duration doubt,
                     Time now) {
-  BeliefFollower& it = followers[from];
+  const auto [entry, is_new] = followers.try_emplace(from);
+  BeliefFollower& it = entry->second;
   it.heard = now;
-  const bool is_behind =
-      follow.epoch != table.epoch || follow.sequence <= it.sequence;
-  const bool is_under_way = it.epoch == table.epoch && is_behind &&
-                            now - it.pushed < kPushRepeat;
-  if (!is_under_way) {
-    it.epoch = follow.epoch;
-    it.sequence = follow.sequence;
-  }
-  BeliefPush push = MakePush(table, it.epoch, it.sequence, doubt);
-  if (push.complete || !push.items.empty())
-    it.pushed = now;
-  it.epoch = table.epoch;
-  it.sequence = table.sequence;
-  return push;
+  // Another epoch at the same host is another start of it.
+  const bool has_moved = is_new || follow.epoch != it.acked.epoch ||
+                         follow.sequence != it.acked.sequence;
+  const bool is_lost = follow.epoch != table.epoch;
+  const bool is_stuck =
+      !has_moved && now - it.progressed >= kPushRepeat;
+  it.acked = follow;
+  uint64_t from_sequence = it.sent;
+  if (has_moved || is_stuck)
+    it.progressed = now;
+  if (is_stuck || (is_lost && has_moved))
+    from_sequence = follow.sequence;
+  const uint64_t epoch =
+      is_lost && (has_moved || is_stuck) ? follow.epoch : table.epoch;
+  it.sent = table.sequence;
+  return MakePush(table, epoch, from_sequence, doubt);
 }
 
 bool HasFollowers(const BeliefFollowers& followers, Time now) {
@@ -215,11 +218,9 @@
       it = followers.erase(it);
       continue;
     }
-    out.push_back({it->first, MakePush(table, follower.epoch,
-                                       follower.sequence, doubt)});
-    follower.epoch = table.epoch;
-    follower.sequence = table.sequence;
-    follower.pushed = now;
+    out.push_back(
+        {it->first, MakePush(table, table.epoch, follower.sent, doubt)});
+    follower.sent = table.sequence;
     ++it;
   }
   return out;
--- a/src/routing/belief_table.h
+++ b/src/routing/belief_table.h
@@ -62,15 +62,15 @@
 
 // A host that follows this one.
 struct BeliefFollower {
-  uint64_t epoch = 0;
-  uint64_t sequence = 0;  // That it has, or that was sent to it lately.
+  BeliefFollow acked;     // What its last sign of life showed.
+  uint64_t sent = 0;      // Position in the log up to which it was sent.
   Time heard;
-  Time pushed;
+  Time progressed;  // When its position last moved, or all was sent to it.
 };
 
 // A follower that is silent for this long has gone elsewhere.
 inline constexpr Duration kFollowerSilence = std::chrono::seconds(3);
-// A push that has not been acknowledged by then is sent again.
+// A follower whose position has not moved by then has lost a push.
 inline constexpr Duration kPushRepeat = std::chrono::milliseconds(700);
 
 using BeliefFollowers = std::unordered_map<HostId, BeliefFollower>;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -21,9 +21,6 @@
 
 // Of these, the most that lie in the first region.
 constexpr size_t kHomeCandidates = 2;
-// Share of the objects that stay at home if they can; the others lie anywhere,
-// so that a region whose callers are all busy at once is relieved.
-constexpr double kHomeBias = 0.6;
 // A region without spare capacity still comes last for some objects.
 constexpr double kLeastPart = 1e-3;
 constexpr double kLeastUnit = 1e-12;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -36,6 +36,10 @@
 // Hosts that may send to one cold endpoint.
 inline constexpr size_t kWarmupSenders = 3;
 
+// Share of the objects that stay at home if they can; the others lie anywhere,
+// so that a region whose callers are all busy at once is relieved.
+inline constexpr double kHomeBias = 0.6;
+
 struct PlacementRequest {
   const ServiceId* service = nullptr;
   const RequestRoute* route = nullptr;
