--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -34,7 +34,7 @@
     "  sassafrasdeck state 127.0.1.1:7200 --part members\n"
     "  sassafrasdeck load --entry 127.0.1.1:7000 --service rounds --path "
     "/stock/1 --rate 100 --seconds 10\n"
-    "Exit codes are listed in docs/OPERATING.md.";
+    "Exit codes are listed in docs/OPERATIONS.md.";
 
 // Reads a process's settings; nothing after their faults were printed.
 std::optional<Settings> ProcessSettings(const std::string& file) {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -1,7 +1,7 @@
 // Settings of a process, read strictly from TOML files.
 //
 // A deployment's file holds what all hosts share. A host's file names the
-// deployment's file and adds the host's own section. docs/OPERATING.md
+// deployment's file and adds the host's own section. docs/OPERATIONS.md
 // describes every field.
 #ifndef BASE_SETTINGS_H_
 #define BASE_SETTINGS_H_
