--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -200,6 +200,7 @@
                                    sequence,
                                    complete,
                                    doubt_ms,
+                                   store_age_ms,
                                    items,
                                    positions)
 
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -364,6 +364,8 @@
   bool complete = false;
   // For how long yet a removed record need not mean that its endpoint left.
   uint64_t doubt_ms = 0;
+  // Age of the relay's last answer from the store.
+  uint64_t store_age_ms = 0;
   std::vector<BeliefItem> items;
   std::vector<BeliefPosition> positions;
 };
--- a/src/gateway/belief_feed.cc
+++ b/src/gateway/belief_feed.cc
@@ -118,13 +118,14 @@
 
 void BeliefFeed::TakeStoreChange(const std::string& kind,
                                  const StoreChange& change) {
+  store_answered_ = state_.loop.Now();
   const auto news = ApplyStoreChange(table_, kind, change);
   Take(news);
   if (news.empty() || !IsComplete(table_))
     return;
   for (const AddressedPush& it :
        PushToAll(followers_, table_, Doubt(), state_.loop.Now()))
-    mesh_->Send(it.to, it.push);
+    Push(it.to, it.push);
 }
 
 void BeliefFeed::FollowStore() {
@@ -153,14 +154,15 @@
   const BeliefPush push =
       OnFollow(followers_, table_, from, follow, Doubt(), now);
   if (is_relay)
-    mesh_->Send(from, push);
+    Push(from, push);
 }
 
 void BeliefFeed::OnPush(const HostId& from, const BeliefPush& push) {
   if (choice_.relays.count(from) == 0)
     return;
   const Time now = state_.loop.Now();
-  OnRelayHeard(choice_, from, now);
+  OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
+               now);
   ExtendDoubt(state_.endpoints, std::chrono::milliseconds(push.doubt_ms), now);
   BeliefFollow& position = positions_[from];
   const bool follows_on = push.complete || (push.epoch == position.epoch &&
@@ -185,6 +187,12 @@
   on_news_();
 }
 
+void BeliefFeed::Push(const HostId& to, BeliefPush push) {
+  push.store_age_ms = static_cast<uint64_t>(
+      std::max<int64_t>(Millis(state_.loop.Now() - store_answered_), 0));
+  mesh_->Send(to, push);
+}
+
 Duration BeliefFeed::Doubt() const {
   return state_.endpoints.registry_unreliable_until - state_.loop.Now();
 }
@@ -196,7 +204,11 @@
     return;
   is_probing_ = true;
   store_->List({platform::kEvacuationKind, kProbeTimeout},
-               [this](const StoreReply&) { is_probing_ = false; });
+               [this](const StoreReply& reply) {
+                 is_probing_ = false;
+                 if (reply.status == StoreStatus::kOk)
+                   store_answered_ = state_.loop.Now();
+               });
 }
 
 void BeliefFeed::OnTick() {
--- a/src/gateway/belief_feed.h
+++ b/src/gateway/belief_feed.h
@@ -49,6 +49,7 @@
   void OnReachable(bool reachable);
   void ProbeStore();
   Duration Doubt() const;
+  void Push(const HostId& to, BeliefPush push);
   void OnTick();
   void ReadHosts();
   void WriteOwnHost();
@@ -65,6 +66,7 @@
   // Positions in the logs of the relays.
   std::map<HostId, BeliefFollow> positions_;
   Time started_;
+  Time store_answered_;  // When the store last answered this host.
   std::vector<std::unique_ptr<Watch>> follows_;
   std::unique_ptr<Watch> tick_;
   std::unique_ptr<Watch> own_host_retry_;
--- a/src/routing/relay_choice.cc
+++ b/src/routing/relay_choice.cc
@@ -158,9 +158,12 @@
   return ChooseRelays(choice, relays, now);
 }
 
-void OnRelayHeard(FeedChoice& choice, const HostId& relay, Time now) {
+void OnRelayHeard(FeedChoice& choice,
+                  const HostId& relay,
+                  Duration store_age,
+                  Time now) {
   const auto it = choice.relays.find(relay);
-  if (it != choice.relays.end())
+  if (it != choice.relays.end() && store_age <= kRelaySilence)
     it->second = now;
 }
 
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -62,8 +62,12 @@
 // Brings the choice up to date; true if it changed.
 bool UpdateFeedChoice(FeedChoice& choice, const FeedInput& input, Time now);
 
-// A relay has sent something.
-void OnRelayHeard(FeedChoice& choice, const HostId& relay, Time now);
+// A relay has sent something; its last answer from the store is `store_age`
+// old. One that is cut off from the store counts as silent.
+void OnRelayHeard(FeedChoice& choice,
+                  const HostId& relay,
+                  Duration store_age,
+                  Time now);
 
 }  // namespace sassafras
 
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -130,7 +130,7 @@
   while (now - kStart <= kRelaySilence + kGossipPeriod) {
     now += kGossipPeriod;
     HearAll(members, now);
-    OnRelayHeard(choice, other, now);
+    OnRelayHeard(choice, other, Duration(0), now);
     UpdateFeedChoice(choice, input, now);
   }
   EXPECT_EQ(choice.source, FeedSource::kRelays);
@@ -154,6 +154,26 @@
   EXPECT_LE(now - kStart, milliseconds(1800));
 }
 
+// Seen on the grown akane site: six hosts in a row that became relays were cut
+// off from the store; their followers heard them and went on with an old
+// configuration for five seconds.
+TEST(RelayChoiceTest, RelaysWithoutTheStoreCountAsSilent) {
+  HostMembers members = View(Follower(), 18, kStart);
+  const FeedInput input{&members, &kRegions, false, kStart};
+  FeedChoice choice;
+  UpdateFeedChoice(choice, input, kStart);
+  Time now = kStart;
+  while (choice.source == FeedSource::kRelays && now - kStart < seconds(9)) {
+    now += kGossipPeriod;
+    HearAll(members, now);
+    for (const HostId& it : FindRelays(input, choice, now))
+      OnRelayHeard(choice, it, seconds(2), now);
+    UpdateFeedChoice(choice, input, now);
+  }
+  EXPECT_EQ(choice.source, FeedSource::kStore);
+  EXPECT_LE(now - kStart, milliseconds(1800));
+}
+
 TEST(RelayChoiceTest, HostThatIsAskedFollowsTheStore) {
   HostMembers members = View(Follower(), 18, kStart);
   FeedInput input{&members, &kRegions, false, kStart};
