--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -336,8 +336,8 @@
   EXPECT_TRUE(world_.WaitEnd(1, seconds(4)));
 }
 
-// Seen on the grown rodantes site (scale-2, LOST): a request that came late in
-// a stop was still at work when the process ended, and was cut.
+// LOST was seen once on the grown rodantes site (scale-2) and not traced; that
+// a request which comes late in a stop could be cut follows from the code.
 TEST_F(GatewayTest, RequestThatCannotEndBeforeTheStopIsRefusedAtOnce) {
   StartOne();
   endpoints_[0]->set_work(milliseconds(1200));
