Keep requests that carry much in their callers' region

Change: the mean size of a route's bodies is learnt; from 2 KB on its objects stay at home as far as its slots go. Tests: HeavyObjectsStayInARegionThatCanBearThem, RoutesAreJudgedByWhatThey Carry; the first failed before the change to the parts of regions.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -174,6 +174,7 @@
   query.route = route_;
   query.affinity_key = request_.affinity_key;
   query.random = HashPair(HashOfId(), tried_.size());
+  query.is_heavy = IsHeavy(state_.body_sizes, *route_);
   for (const EndpointPtr& it : tried_)
     query.tried.push_back(it.get());
   const Placement placement =
@@ -443,6 +444,7 @@
     return;
   }
   Try& t = *try_;
+  answer_bytes_ += t.body.size();
   const HttpHead& head = t.reader->head();
   const bool has_body =
       request_.method != "HEAD" && !IsBodiless(t.answer.status);
@@ -581,6 +583,10 @@
   try_->stream.reset();
   ForwardAnswer(true);
   const int status = try_->answer.status;
+  if (IsSuccess(status)) {
+    OnBodySize(state_.body_sizes, route_->name,
+               body_begin_ + body_.size() + answer_bytes_);
+  }
   tried_.push_back(try_->endpoint);
   try_.reset();
   Finish(status, "endpoint");
@@ -643,6 +649,8 @@
       .With("status", status)
       .With("cause", cause)
       .With("sends", sends_)
+      .With("object",
+            request_.affinity_key.empty() ? "-" : request_.affinity_key)
       .With("endpoint",
             tried_.empty() ? EndpointId("-") : tried_.back()->record.id)
       .With("load", load_seen_)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -138,6 +138,7 @@
   std::string body_;       // Request's body from `body_begin_` on.
   size_t body_begin_ = 0;  // Bytes of the body that were dropped.
   bool body_complete_ = false;
+  uint64_t answer_bytes_ = 0;  // Of the answer's body, so far.
 
   std::unique_ptr<Try> try_;
   std::vector<EndpointPtr> tried_;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_settings.h"
 #include "routing/admission.h"
 #include "routing/attempt.h"
+#include "routing/body_sizes.h"
 #include "routing/endpoint_set.h"
 #include "routing/host_members.h"
 #include "routing/placement.h"
@@ -35,6 +36,7 @@
   HostMembers members;
   PlacementContext placement;
   AdmissionState admission;
+  BodySizes body_sizes;
   std::unordered_map<ServiceId, RetryAllowance> retries;
   EndpointPool pool;
   Metrics metrics;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -130,7 +130,9 @@
     if (IsAvailable(set, *it, context, request, with_ejected, now))
       all.push_back({&it, HashPair(key, it->hash), 0});
   }
-  return TakeFirst(std::move(all), RegionParts(set, endpoints, context), key);
+  const double home_bias = request.is_heavy ? 1.0 : kHomeBias;
+  return TakeFirst(std::move(all),
+                   RegionParts(set, endpoints, context, home_bias), key);
 }
 
 size_t CountEjected(const std::vector<EndpointPtr>& endpoints, Time now) {
@@ -173,7 +175,8 @@
 std::map<RegionId, double> RegionParts(
     const EndpointSet& set,
     const std::vector<EndpointPtr>& endpoints,
-    const PlacementContext& context) {
+    const PlacementContext& context,
+    double home_bias) {
   std::map<RegionId, double> capacity;
   double total = 0;
   for (const EndpointPtr& it : endpoints) {
@@ -208,7 +211,7 @@
     part = spare > 0 ? (1.0 - at_home) * part / spare : 0.0;
   parts[context.own_region] = at_home;
   for (auto& [region, part] : parts)
-    part = kHomeBias * part + (1.0 - kHomeBias) * capacity[region] / total;
+    part = home_bias * part + (1.0 - home_bias) * capacity[region] / total;
   return parts;
 }
 
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -37,7 +37,8 @@
 inline constexpr size_t kWarmupSenders = 3;
 
 // Share of the objects that stay at home if they can; the others lie anywhere,
-// so that a region whose callers are all busy at once is relieved.
+// so that a region whose callers are all busy at once is relieved. Objects
+// whose requests are heavy all stay if they can.
 inline constexpr double kHomeBias = 0.6;
 
 struct PlacementRequest {
@@ -45,6 +46,7 @@
   const RequestRoute* route = nullptr;
   std::string_view affinity_key;  // Empty: the request concerns no object.
   uint64_t random = 0;            // Spreads requests without a key.
+  bool is_heavy = false;          // Carries many bytes.
   std::vector<const EndpointView*> tried;
 };
 
@@ -74,12 +76,14 @@
 };
 
 // The part of the requests from `context.own_region` that each region's
-// endpoints of a service get: as much as possible at home, the rest where
-// there is more capacity than callers. Empty: regions are not told apart.
+// endpoints of a service get: `home_bias` of them at home as far as its slots
+// go and else where there is more capacity than callers, the others by
+// capacity. Empty: regions are not told apart.
 std::map<RegionId, double> RegionParts(
     const EndpointSet& set,
     const std::vector<EndpointPtr>& endpoints,
-    const PlacementContext& context);
+    const PlacementContext& context,
+    double home_bias);
 
 Placement PlaceRequest(const EndpointSet& set,
                        const PlacementContext& context,
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "base/hash.h"
+#include "routing/body_sizes.h"
 
 namespace sassafras {
 namespace {
@@ -129,6 +130,39 @@
               kHomeBias + (1 - kHomeBias) / 2, 0.03);
 }
 
+// Uploads and long answers pay for each byte that crosses between regions.
+TEST(PlacementTest, HeavyObjectsStayInARegionThatCanBearThem) {
+  const EndpointSet set = MakeSet(16);
+  const RequestRoute route = StickyRoute();
+  constexpr int kObjects = 2000;
+  int elsewhere = 0;
+  for (int i = 0; i < kObjects; ++i) {
+    const std::string key = std::to_string(i);
+    PlacementRequest request = Ask(route, key);
+    request.is_heavy = true;
+    const auto placed = PlaceRequest(set, InRegion("ra"), request, kStart);
+    ASSERT_TRUE(placed.endpoint);
+    elsewhere += placed.endpoint->record.region != RegionId("ra");
+  }
+  EXPECT_LE(elsewhere, kObjects / 100);
+}
+
+TEST(BodySizesTest, RoutesAreJudgedByWhatTheyCarry) {
+  BodySizes sizes;
+  RequestRoute photos;
+  photos.name = "photos";
+  photos.kind = RouteKind::kUpload;
+  RequestRoute sheets;
+  sheets.name = "sheets";
+  EXPECT_TRUE(IsHeavy(sizes, photos));
+  EXPECT_FALSE(IsHeavy(sizes, sheets));
+  OnBodySize(sizes, "sheets", 5000);
+  EXPECT_TRUE(IsHeavy(sizes, sheets));
+  for (int i = 0; i < 300; ++i)
+    OnBodySize(sizes, "sheets", 400);
+  EXPECT_FALSE(IsHeavy(sizes, sheets));
+}
+
 // Three quarters of the slots lie in one region; each region's endpoints get
 // the part of all requests that is their part of the slots.
 TEST(PlacementTest, RegionShortOfEndpointsSendsTheRestElsewhere) {
