Send less gossip: configurations are no news, far and whole messages rarer

A host's notice holds the version of its configuration, and a notice that changed is passed on whole for 4 s, so each change of the configuration made every message of every host 9 KB instead of 1 KB (about 70 KB/s a host while they follow each other); a third of them crossed between regions. Change: the version alone is no news (nothing decides by it); eight hosts of a region send abroad in a round, however many there are; whole messages are rarer the more hosts there are.

--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -16,7 +16,6 @@
 
 bool IsSameButForBeat(const HostNotice& a, const HostNotice& b) {
   return a.incarnation == b.incarnation && a.phase == b.phase &&
-         a.config_version == b.config_version &&
          a.reaches_store == b.reaches_store && a.ip == b.ip;
 }
 
@@ -36,6 +35,10 @@
   return out;
 }
 
+uint64_t WholeRounds(size_t hosts) {
+  return std::max<uint64_t>(kFewestWholeRounds, hosts / kHostsPerWholeRound);
+}
+
 // Takes up to `n` of `ips` at random.
 std::vector<std::string> Sample(std::vector<std::string> ips,
                                 size_t n,
@@ -107,12 +110,15 @@
     auto& list = !IsAlive(member, now) ? silent : is_near ? near : far;
     list.push_back(member.notice.ip);
   }
-  round.to_ips = Sample(std::move(far), kFarFanout, members.random);
+  const bool is_far_turn = members.random() % (near.size() + 1) < kFarSenders;
+  round.to_ips =
+      Sample(std::move(far), is_far_turn ? kFarFanout : 0, members.random);
   for (std::string& it :
        Sample(std::move(near), kGossipFanout - round.to_ips.size(),
               members.random))
     round.to_ips.push_back(std::move(it));
-  const bool is_whole_turn = members.self.beat % kWholeRounds == 0;
+  const bool is_whole_turn =
+      members.self.beat % WholeRounds(members.others.size() + 1) == 0;
   if (is_whole_turn && !round.to_ips.empty()) {
     round.whole_to_ip = round.to_ips.back();
     round.to_ips.pop_back();
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -78,6 +78,8 @@
 // Of these, the most that lie in other regions: bytes between regions are
 // dear, and news needs only a few rounds more.
 inline constexpr size_t kFarFanout = 1;
+// Hosts of a region that send to another one in a round, on the mean.
+inline constexpr size_t kFarSenders = 8;
 // A host whose count has not grown for this long is taken as gone: several
 // rounds, so that lost datagrams do not remove a host.
 inline constexpr Duration kHostSilence = std::chrono::milliseconds(3000);
@@ -87,8 +89,10 @@
 // Notices are sent whole for this long after a change, later as counts.
 inline constexpr Duration kNewsTime = std::chrono::seconds(4);
 // Every so many rounds, all notices are sent whole to one host, so that a
-// host which has missed the news learns of all others.
-inline constexpr uint64_t kWholeRounds = 8;
+// host which has missed the news learns of all others: rarer the longer the
+// message is.
+inline constexpr uint64_t kFewestWholeRounds = 8;
+inline constexpr size_t kHostsPerWholeRound = 4;
 
 // What one host tells another.
 struct GossipMessage {
--- a/tests/routing/host_members_test.cc
+++ b/tests/routing/host_members_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 
+#include "gateway/gossip.h"
 #include "routing/directory.h"
 
 namespace sassafras {
@@ -114,6 +115,59 @@
   }
 }
 
+// A hundred hosts in three regions while the operator changes the
+// configuration every second.
+TEST(HostMembersTest, NewsOfConfigurationsKeepsGossipSmall) {
+  constexpr int kHosts = 108;
+  // The aim for control at the future size; here a tenth of the hosts gossip.
+  constexpr double kMostBytesPerSecond = 17 << 10;
+  World world(kHosts);
+  std::map<ZoneId, RegionId> regions;
+  int i = 0;
+  for (auto& [ip, members] : world.hosts) {
+    const std::string place = std::to_string(i++ % 3);
+    members.self.zone = ZoneId("z" + place);
+    regions[ZoneId("z" + place)] = RegionId("r" + place);
+  }
+  Time now = kStart;
+  const auto run = [&](Duration time, uint64_t& bytes, uint64_t& far_bytes) {
+    const Time end = now + time;
+    while (now < end) {
+      now += kGossipPeriod;
+      for (auto& [ip, members] : world.hosts) {
+        members.self.config_version =
+            static_cast<uint64_t>(now.time_since_epoch() / seconds(1));
+        const GossipRound round =
+            NextRound(members, {"10.0.0.0", "10.0.0.1"}, regions, now);
+        world.Deliver(round, now);
+        const size_t size = EncodeGossip(round.message).size();
+        bytes += size * round.to_ips.size();
+        if (!round.whole_to_ip.empty())
+          bytes += EncodeGossip(round.whole).size();
+        for (const std::string& it : round.to_ips) {
+          if (world.hosts[it].self.zone != members.self.zone)
+            far_bytes += size;
+        }
+      }
+    }
+  };
+  uint64_t bytes = 0;
+  uint64_t far_bytes = 0;
+  run(seconds(10), bytes, far_bytes);
+  bytes = 0;
+  far_bytes = 0;
+  constexpr seconds kWatched(30);
+  run(kWatched, bytes, far_bytes);
+  for (const auto& [ip, members] : world.hosts)
+    EXPECT_EQ(CountAlive(members, now), static_cast<size_t>(kHosts)) << ip;
+  const double per_host =
+      static_cast<double>(bytes) / kHosts / Seconds(kWatched);
+  EXPECT_LE(per_host, kMostBytesPerSecond);
+  // Regions are a third each: chance alone would send two thirds abroad.
+  EXPECT_LE(static_cast<double>(far_bytes), 0.2 * static_cast<double>(bytes));
+  RecordProperty("bytes_per_second", static_cast<int>(per_host));
+}
+
 TEST(HostMembersTest, LeavingHostIsOutOfTheAnswersAtOnce) {
   World world(18);
   Time now = kStart;
