Add a soak of real gateway processes under faults from outside

Change: tests/soak plays seeds: six gateways in three zones against stand-ins, with a loopback proxy before each endpoint and before each host's way to the store (delays, cuts one way, silence, refusals, resets), signals (stop, kill, freeze, reload), a store that is down or forgets, endpoints that misbehave, leave and come, evacuations and configurations, in series and overlapping. Callers keep their connections, pipeline, and leave early. Checked: own and whole answers, at most once, true refusals, no unasked run, no process that ends by itself; after the faults every host serves with the newest configuration and sends nothing to endpoints that left; in seeds of planned work only, no request is lost or failed. `make process-soak SEEDS=1-50`; four seeds run in `make test`. Clocks cannot be moved here without root: not covered.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES := $(shell git ls-files 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' 'tests/*.cc' 'tests/*.h')
 UNITS := $(filter %.cc,$(SOURCES))
 
-.PHONY: all setup build test demo bench soak fault-table sanitize format format-check lint
+.PHONY: all setup build test demo bench soak process-soak fault-table sanitize format format-check lint
 
 all: build
 
@@ -36,6 +36,10 @@
 soak: build
 	$(BUILD)/tests/soak
 
+# Real gateway processes under faults: make process-soak SEEDS=1-50 JOBS=8
+process-soak: build
+	$(BUILD)/tests/process_soak --seeds $(or $(SEEDS),1-50) --jobs $(JOBS)
+
 # Prints the fault matrix that docs/FAULTS.md holds.
 fault-table: build
 	$(BUILD)/tests/fault_table
--- /dev/null
+++ b/tests/soak/fault_proxy.cc
@@ -0,0 +1,105 @@
+#include "soak/fault_proxy.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+constexpr Duration kDelay = std::chrono::milliseconds(120);
+
+}  // namespace
+
+FaultProxy::FaultProxy(Loop& loop, const Address& listen, Address target)
+    : loop_(loop), target_(std::move(target)) {
+  auto listener = Listen(listen);
+  if (!listener)
+    std::abort();
+  listener_ = std::move(listener.value());
+  accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
+                           [this](bool, bool) { Accept(); });
+}
+
+FaultProxy::~FaultProxy() {
+  for (const LinkPtr& it : links_) {
+    it->is_open = false;
+    it->delayed.clear();
+    it->user.stream->Close();
+    it->behind.stream->Close();
+  }
+}
+
+bool FaultProxy::IsCut(bool towards) const {
+  return mode_ == ProxyMode::kSilent ||
+         mode_ == (towards ? ProxyMode::kCutTowards : ProxyMode::kCutBackward);
+}
+
+void FaultProxy::Accept() {
+  Socket socket = AcceptConnection(listener_);
+  if (!socket.valid() || mode_ == ProxyMode::kRefuse)
+    return;
+  auto behind = Stream::Connect(loop_, target_, "");
+  if (!behind)
+    return;
+  auto link = std::make_shared<Link>();
+  link->user.stream = Stream::Adopt(loop_, std::move(socket));
+  link->behind.stream = std::move(behind.value());
+  links_.push_back(link);
+  const auto handlers = [this, link](Side& from, Side& to) {
+    Stream::Handlers out;
+    out.on_data = [this, link, &from, &to](std::string_view data) {
+      Pass(link, from, to, data);
+    };
+    // A link that is cut passes no end on either.
+    out.on_end = [this, link, &from](StreamEnd) {
+      if (!from.is_lossy && !IsCut(&from == &link->user))
+        Close(link);
+    };
+    return out;
+  };
+  link->user.stream->Start(handlers(link->user, link->behind));
+  link->behind.stream->Start(handlers(link->behind, link->user));
+}
+
+void FaultProxy::Pass(const LinkPtr& link,
+                      Side& from,
+                      Side& to,
+                      std::string_view data) {
+  from.is_lossy = from.is_lossy || IsCut(&from == &link->user);
+  if (from.is_lossy || !link->is_open)
+    return;
+  const bool is_late = mode_ == ProxyMode::kDelay || !link->delayed.empty();
+  if (!is_late) {
+    to.stream->Write(data);
+    return;
+  }
+  // One timer a piece, all with the same delay, so that the order stays.
+  link->delayed.push_back(
+      loop_.After(kDelay, [link, &to, text = std::string(data)] {
+        if (link->is_open)
+          to.stream->Write(text);
+      }));
+}
+
+void FaultProxy::Close(const LinkPtr& link) {
+  if (!std::exchange(link->is_open, false))
+    return;
+  link->user.stream->CloseGracefully();
+  link->behind.stream->Close();
+  loop_.Post([this, link] {
+    link->delayed.clear();
+    links_.erase(std::remove(links_.begin(), links_.end(), link), links_.end());
+  });
+}
+
+void FaultProxy::ResetAll() {
+  for (const LinkPtr& it : std::vector<LinkPtr>(links_)) {
+    it->user.stream->Close();
+    Close(it);
+  }
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/tests/soak/soak.cc
@@ -0,0 +1,528 @@
+#include "soak/soak.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+#include "base/http_status.h"
+#include "soak/fault_proxy.h"
+#include "soak/soak_callers.h"
+
+namespace sassafras {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint16_t kStoreProxyPort = 8150;
+constexpr uint16_t kEndpointProxyPort = 8081;
+constexpr milliseconds kSendPeriod{25};
+constexpr milliseconds kPollPeriod{10};
+// Bounds as the platform's pages state them for the milestone's sites.
+constexpr milliseconds kStableWindow{4000};
+constexpr milliseconds kLossSlack{200};
+constexpr milliseconds kRecovery{15000};
+constexpr milliseconds kRouteTimeout{2000};
+constexpr milliseconds kTimeoutSlack{500};
+constexpr milliseconds kDrain{2500};
+// A stand-in endpoint that leaves serves on for a little longer than that.
+constexpr milliseconds kServesOn{3200};
+constexpr const char* kService = "rondas";
+
+enum class Fault {
+  kStop,
+  kReload,
+  kConfig,
+  kLeave,
+  kEvacuate,
+  // Planned work ends here.
+  kKill,
+  kFreeze,
+  kStoreDown,
+  kStoreForgets,
+  kCutFromStore,
+  kHarmEndpoint,
+  kMisbehave,
+};
+
+constexpr int kPlannedFaults = static_cast<int>(Fault::kEvacuate) + 1;
+constexpr int kAllFaults = static_cast<int>(Fault::kMisbehave) + 1;
+
+struct SoakEndpoint {
+  PlatformStandinEndpoint* standin = nullptr;
+  std::unique_ptr<FaultProxy> proxy;
+  std::string id;
+  std::string zone;
+  bool has_left = false;
+  Time left;
+  size_t runs_at_check = 0;
+};
+
+struct SoakHost {
+  std::unique_ptr<FaultProxy> store;
+  bool is_ending = false;  // It was told to end.
+  bool is_frozen = false;
+  bool takes_callers = true;
+};
+
+class SoakRun {
+ public:
+  explicit SoakRun(const SoakOptions& options)
+      : options_(options), random_(options.seed), world_(options.network) {
+    world_.UseAllZones();
+  }
+
+  SoakReport Run();
+
+ private:
+  bool IsPlannedOnly() const { return options_.seed % 3 == 0; }
+  Loop& loop() { return world_.loop(); }
+  uint64_t Pick(uint64_t n) { return random_() % n; }
+  milliseconds PickTime(int from_ms, int to_ms) {
+    return milliseconds(from_ms + static_cast<int>(Pick(to_ms - from_ms)));
+  }
+  int PickHost() { return 1 + static_cast<int>(Pick(options_.hosts)); }
+  void Note(const std::string& what);
+  void Violate(const std::string& what) { report_.violations.push_back(what); }
+  void Later(milliseconds delay, std::function<void()> fn);
+  void Wait(milliseconds time) {
+    world_.RunUntil(time, [] { return false; });
+  }
+
+  void Start();
+  void AddEndpoint();
+  void Send();
+  void Poll();
+  void Harm();
+  void BreakSomething();
+  void Stop(int host);
+  void Kill(int host);
+  void Freeze(int host);
+  void Restart(int host, milliseconds delay);
+  void ChangeConfig();
+  void Leave();
+  void Evacuate();
+  void HarmStore(Fault fault);
+  void CutFromStore(int host);
+  void HarmEndpoint();
+  void Misbehave();
+  void Heal();
+  void CheckCalm();
+  bool AnswersAsConfigured(int host);
+  int StatusOf(int host, const std::string& path);
+  void CheckAll();
+
+  SoakOptions options_;
+  SoakReport report_;
+  std::mt19937_64 random_;
+  PlatformWorld world_;
+  std::unique_ptr<SoakCallers> callers_;
+  std::map<int, SoakHost> hosts_;
+  std::vector<SoakEndpoint> endpoints_;
+  std::vector<std::unique_ptr<Watch>> timers_;
+  std::unique_ptr<Watch> send_;
+  std::unique_ptr<Watch> poll_;
+  int version_ = 0;
+  bool is_healing_ = false;
+  int next_probe_ = 0;
+  Time started_;
+};
+
+void SoakRun::Note(const std::string& what) {
+  const auto ms = Millis(loop().Now() - started_);
+  report_.faults.push_back(std::to_string(ms) + " ms " + what);
+}
+
+void SoakRun::Later(milliseconds delay, std::function<void()> fn) {
+  timers_.push_back(loop().After(delay, std::move(fn)));
+}
+
+void SoakRun::AddEndpoint() {
+  const int n = static_cast<int>(endpoints_.size()) + 1;
+  SoakEndpoint it;
+  it.standin = &world_.AddEndpoint(kService);
+  it.standin->set_work(PickTime(5, 60));
+  it.id = "i-" + std::to_string(n);
+  it.zone = kStandinZones[static_cast<size_t>(n) % kStandinZones.size()].zone;
+  nlohmann::json record = it.standin->Record(kService, it.zone);
+  const Address target =
+      Address::Parse(record["address"].get<std::string>()).value();
+  const Address listen{target.ip, kEndpointProxyPort};
+  it.proxy = std::make_unique<FaultProxy>(loop(), listen, target);
+  record["address"] = listen.ToString();
+  world_.store().Put("servers", it.id, record);
+  endpoints_.push_back(std::move(it));
+}
+
+void SoakRun::Start() {
+  started_ = loop().Now();
+  callers_ = std::make_unique<SoakCallers>(world_, random_);
+  ChangeConfig();
+  for (int i = 0; i < options_.endpoints; ++i)
+    AddEndpoint();
+  for (int host = 1; host <= options_.hosts; ++host) {
+    const Address listen = world_.HostAddress(host, kStoreProxyPort);
+    hosts_[host].store =
+        std::make_unique<FaultProxy>(loop(), listen, world_.StoreAddress());
+    world_.SetStoreAddress(host, listen);
+    world_.StartGateway(host);
+  }
+  for (int host = 1; host <= options_.hosts; ++host) {
+    if (!world_.WaitReady(host))
+      Violate("host " + std::to_string(host) + " did not start");
+  }
+  Wait(kStableWindow);
+  send_ = loop().Every(kSendPeriod, [this] { Send(); });
+  poll_ = loop().Every(kPollPeriod, [this] { Poll(); });
+}
+
+void SoakRun::Send() {
+  const int host = PickHost();
+  if (!hosts_[host].takes_callers)
+    return;
+  const uint64_t kind = Pick(100);
+  callers_->Send(host, kind < 60   ? "/read/"
+                       : kind < 90 ? "/charge/"
+                                   : "/upload/");
+}
+
+void SoakRun::Poll() {
+  callers_->Take(report_.violations);
+  for (auto& [host, it] : hosts_) {
+    if (!it.is_ending && world_.HasEnded(host)) {
+      Violate("host " + std::to_string(host) + " ended by itself");
+      it.is_ending = true;
+    }
+  }
+}
+
+void SoakRun::Restart(int host, milliseconds delay) {
+  Later(delay, [this, host] {
+    if (!world_.HasEnded(host)) {
+      Restart(host, milliseconds(50));
+      return;
+    }
+    callers_->ForgetHost(host);
+    world_.StartGateway(host);
+    hosts_[host].is_ending = false;
+    // Callers ask the directory, which names hosts that are ready.
+    Later(milliseconds(1500), [this, host] {
+      hosts_[host].takes_callers = !hosts_[host].is_ending;
+    });
+  });
+}
+
+void SoakRun::Stop(int host) {
+  SoakHost& it = hosts_[host];
+  // Callers keep what they have open and find other hosts for new ones; one
+  // host of six stops at a time.
+  const bool another_ends =
+      std::any_of(hosts_.begin(), hosts_.end(),
+                  [](const auto& other) { return other.second.is_ending; });
+  if (it.is_ending || it.is_frozen || (IsPlannedOnly() && another_ends))
+    return;
+  Note("stop host " + std::to_string(host));
+  it.is_ending = true;
+  world_.Signal(host, SIGTERM);
+  Later(milliseconds(300),
+        [this, host] { hosts_[host].takes_callers = false; });
+  Restart(host, milliseconds(400));
+}
+
+void SoakRun::Kill(int host) {
+  SoakHost& it = hosts_[host];
+  if (it.is_ending || it.is_frozen)
+    return;
+  Note("kill host " + std::to_string(host));
+  it.is_ending = true;
+  it.takes_callers = false;
+  world_.Signal(host, SIGKILL);
+  Restart(host, PickTime(100, 1500));
+}
+
+void SoakRun::Freeze(int host) {
+  SoakHost& it = hosts_[host];
+  if (it.is_ending || it.is_frozen)
+    return;
+  Note("freeze host " + std::to_string(host));
+  it.is_frozen = true;
+  world_.Signal(host, SIGSTOP);
+  Later(PickTime(200, 2500), [this, host] {
+    world_.Signal(host, SIGCONT);
+    hosts_[host].is_frozen = false;
+  });
+}
+
+// Each version adds a route and drops that of the version before.
+void SoakRun::ChangeConfig() {
+  ++version_;
+  Note("configuration " + std::to_string(version_));
+  world_.PutConfig(version_, "/v" + std::to_string(version_) + "/");
+}
+
+void SoakRun::Leave() {
+  const auto left = std::count_if(endpoints_.begin(), endpoints_.end(),
+                                  [](const auto& it) { return !it.has_left; });
+  AddEndpoint();
+  if (left < 3)
+    return;
+  SoakEndpoint& it = endpoints_[Pick(endpoints_.size() - 1)];
+  if (it.has_left)
+    return;
+  const bool is_told = Pick(2) == 0;
+  Note((is_told ? "drain " : "remove ") + it.id);
+  it.has_left = true;
+  it.left = loop().Now();
+  if (is_told) {
+    nlohmann::json record = it.standin->Record(kService, it.zone);
+    record["state"] = "draining";
+    record["address"] =
+        Address{Address::Parse(record["address"].get<std::string>()).value().ip,
+                kEndpointProxyPort}
+            .ToString();
+    world_.store().Put("servers", it.id, record);
+  } else {
+    world_.store().Delete("servers", it.id);
+  }
+  Later(kServesOn, [this, id = it.id] {
+    for (SoakEndpoint& endpoint : endpoints_) {
+      if (endpoint.id == id)
+        endpoint.proxy->set_mode(ProxyMode::kRefuse);
+    }
+    world_.store().Delete("servers", id);
+  });
+}
+
+void SoakRun::Evacuate() {
+  const std::string zone = kStandinZones[Pick(kStandinZones.size())].zone;
+  Note("evacuate " + zone);
+  world_.store().Put("evacuations", zone, nlohmann::json::object());
+  Later(PickTime(800, 2500),
+        [this, zone] { world_.store().Delete("evacuations", zone); });
+}
+
+void SoakRun::HarmStore(Fault fault) {
+  if (fault == Fault::kStoreForgets) {
+    Note("store forgets");
+    world_.store().DeafenWatches();
+    ChangeConfig();
+    world_.store().DropHistory();
+    return;
+  }
+  Note("store down");
+  world_.store().set_down(true);
+  Later(PickTime(300, 2500), [this] { world_.store().set_down(false); });
+}
+
+void SoakRun::CutFromStore(int host) {
+  constexpr ProxyMode kModes[] = {ProxyMode::kSilent, ProxyMode::kCutTowards,
+                                  ProxyMode::kCutBackward, ProxyMode::kRefuse,
+                                  ProxyMode::kDelay};
+  FaultProxy* proxy = hosts_[host].store.get();
+  Note("cut host " + std::to_string(host) + " from the store");
+  proxy->set_mode(kModes[Pick(std::size(kModes))]);
+  if (Pick(2) == 0)
+    proxy->ResetAll();
+  Later(PickTime(300, 3000), [proxy] { proxy->set_mode(ProxyMode::kPass); });
+}
+
+void SoakRun::HarmEndpoint() {
+  constexpr ProxyMode kModes[] = {
+      ProxyMode::kSilent, ProxyMode::kCutTowards, ProxyMode::kCutBackward,
+      ProxyMode::kRefuse, ProxyMode::kDelay,      ProxyMode::kPass};
+  SoakEndpoint& it = endpoints_[Pick(endpoints_.size())];
+  if (it.has_left)
+    return;
+  Note("harm the way to " + it.id);
+  it.proxy->set_mode(kModes[Pick(std::size(kModes))]);
+  if (Pick(2) == 0)
+    it.proxy->ResetAll();
+  Later(PickTime(200, 2000), [this, id = it.id] {
+    for (SoakEndpoint& endpoint : endpoints_) {
+      if (endpoint.id == id && !endpoint.has_left)
+        endpoint.proxy->set_mode(ProxyMode::kPass);
+    }
+  });
+}
+
+void SoakRun::Misbehave() {
+  constexpr StandinAct kActs[] = {
+      StandinAct::kShed,     StandinAct::kBreak,      StandinAct::kHalfAnswer,
+      StandinAct::kUnsigned, StandinAct::kForeign,    StandinAct::kUnframed,
+      StandinAct::kFail,     StandinAct::kMisdirected};
+  PlatformStandinEndpoint* it = endpoints_[Pick(endpoints_.size())].standin;
+  Note("an endpoint misbehaves");
+  it->set_act(kActs[Pick(std::size(kActs))]);
+  Later(PickTime(300, 2000), [it] { it->set_act(StandinAct::kAnswer); });
+}
+
+void SoakRun::BreakSomething() {
+  const int kinds = IsPlannedOnly() ? kPlannedFaults : kAllFaults;
+  const int host = PickHost();
+  switch (const auto fault = static_cast<Fault>(Pick(kinds)); fault) {
+    case Fault::kStop:
+      return Stop(host);
+    case Fault::kReload:
+      Note("reload host " + std::to_string(host));
+      if (!hosts_[host].is_ending)
+        world_.Signal(host, SIGHUP);
+      return;
+    case Fault::kConfig:
+      return ChangeConfig();
+    case Fault::kLeave:
+      return Leave();
+    case Fault::kEvacuate:
+      return Evacuate();
+    case Fault::kKill:
+      return Kill(host);
+    case Fault::kFreeze:
+      return Freeze(host);
+    case Fault::kStoreDown:
+    case Fault::kStoreForgets:
+      return HarmStore(fault);
+    case Fault::kCutFromStore:
+      return CutFromStore(host);
+    case Fault::kHarmEndpoint:
+      return HarmEndpoint();
+    case Fault::kMisbehave:
+      return Misbehave();
+  }
+}
+
+void SoakRun::Harm() {
+  const Time end = loop().Now() + options_.harm;
+  while (loop().Now() < end) {
+    BreakSomething();
+    Wait(PickTime(50, 400));
+  }
+}
+
+// All faults end by themselves within 3.5 s; hosts that were told to end are
+// back.
+void SoakRun::Heal() {
+  Wait(kServesOn + milliseconds(300));
+  const bool is_back = world_.RunUntil(kRecovery, [this] {
+    return std::all_of(hosts_.begin(), hosts_.end(), [](const auto& it) {
+      return !it.second.is_ending && it.second.takes_callers;
+    });
+  });
+  if (!is_back)
+    Violate("a host is not back after the faults");
+  Note("calm");
+  Wait(kStableWindow);
+}
+
+int SoakRun::StatusOf(int host, const std::string& path) {
+  PlatformStandinCaller caller(loop(), world_.CallersOf(host));
+  caller.Send(
+      RequestText("GET", path + "1", "probe" + std::to_string(++next_probe_)));
+  world_.RunUntil(kRouteTimeout + kTimeoutSlack, [&] {
+    return !caller.answers().empty() || caller.is_closed();
+  });
+  return caller.answers().empty() ? 0 : caller.answers()[0].head.status;
+}
+
+bool SoakRun::AnswersAsConfigured(int host) {
+  const int on_new = StatusOf(host, "/v" + std::to_string(version_) + "/");
+  const int on_old = StatusOf(host, "/v" + std::to_string(version_ - 1) + "/");
+  if (on_new == kHttpOk && on_old == kHttpNotFound)
+    return true;
+  Violate("host " + std::to_string(host) + " answers " +
+          std::to_string(on_new) + " on the newest route, " +
+          std::to_string(on_old) + " on the dropped one");
+  return false;
+}
+
+// In calm, every host has the newest configuration, serves, and sends nothing
+// to endpoints that have left.
+void SoakRun::CheckCalm() {
+  for (SoakEndpoint& it : endpoints_)
+    it.runs_at_check = it.standin->arrivals();
+  for (int host = 1; host <= options_.hosts; ++host)
+    AnswersAsConfigured(host);
+  const Time from = loop().Now();
+  Wait(milliseconds(1500));
+  for (const SoakEndpoint& it : endpoints_) {
+    const bool is_late = it.has_left && loop().Now() - it.left > kDrain * 2;
+    if (is_late &&
+        static_cast<size_t>(it.standin->arrivals()) > it.runs_at_check)
+      Violate("requests reach " + it.id + ", which has left");
+  }
+  Wait(kRouteTimeout + kTimeoutSlack);
+  for (const auto& [id, it] : callers_->requests()) {
+    const bool is_watched =
+        it->sent >= from && it->sent < from + milliseconds(1400);
+    if (is_watched && !it->has_left && it->status != kHttpOk)
+      Violate(id + " (" + it->path + ") to host " + std::to_string(it->host) +
+              " is answered " + std::to_string(it->status) + " in calm");
+  }
+}
+
+// What holds at all times, from what callers and endpoints have seen.
+void SoakRun::CheckAll() {
+  std::map<std::string, int> runs;
+  const auto& requests = callers_->requests();
+  for (const SoakEndpoint& endpoint : endpoints_) {
+    for (const auto& run : endpoint.standin->runs()) {
+      ++runs[run.request_id];
+      if (run.request_id.rfind("probe", 0) == 0)
+        continue;
+      const auto it = requests.find(run.request_id);
+      if (it == requests.end() || it->second->body != run.body ||
+          it->second->path != run.head.target)
+        Violate("unasked run of " + run.request_id + " at " + endpoint.id);
+    }
+  }
+  for (const auto& [id, it] : requests) {
+    ++report_.requests;
+    const bool is_refused =
+        it->status == kHttpUnavailable || it->status == kHttpTooMany;
+    report_.served += it->status == kHttpOk;
+    report_.refused += is_refused;
+    report_.failed += it->status >= kHttpBadGateway && !is_refused;
+    report_.cut += it->is_cut;
+    const int n = runs.count(id) > 0 ? runs[id] : 0;
+    if (!it->may_repeat && n > 1)
+      Violate(id + " ran " + std::to_string(n) + " times");
+    if (is_refused && n > 0)
+      Violate(id + " was said not to have run, but did");
+    if (it->status == kHttpNotFound)
+      Violate(id + " was denied on a route that always was");
+    if (!IsPlannedOnly() || it->has_left)
+      continue;
+    // One behind another's answer that closes was not read, as the pages say.
+    const bool is_late = !it->is_behind && it->done - it->sent > kLossSlack;
+    if (it->is_cut && (n > 0 || is_late))
+      Violate(id + " to host " + std::to_string(it->host) + " was lost after " +
+              std::to_string(Millis(it->done - it->sent)) +
+              " ms in planned work; runs: " + std::to_string(n));
+    if (it->status == kHttpBadGateway || it->status == kHttpTimeout)
+      Violate(id + " failed with " + std::to_string(it->status) +
+              " in planned work");
+  }
+}
+
+SoakReport SoakRun::Run() {
+  Start();
+  for (int i = 0; i < options_.rounds && report_.violations.empty(); ++i) {
+    Harm();
+    Heal();
+    CheckCalm();
+  }
+  send_.reset();
+  Wait(kRouteTimeout + kTimeoutSlack);
+  poll_.reset();
+  CheckAll();
+  return report_;
+}
+
+}  // namespace
+
+SoakReport RunSoak(const SoakOptions& options) {
+  return SoakRun(options).Run();
+}
+
+}  // namespace sassafras
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -349,8 +349,7 @@
   std::string name =
       (std::filesystem::temp_directory_path() / "platform-XXXXXX").string();
   folder_ = mkdtemp(name.data());
-  store_ = std::make_unique<PlatformStandinStore>(loop_,
-                                                  HostAddress(200, kStorePort));
+  store_ = std::make_unique<PlatformStandinStore>(loop_, StoreAddress());
 }
 
 PlatformWorld::~PlatformWorld() {
@@ -371,6 +370,18 @@
           port};
 }
 
+Address PlatformWorld::StoreAddress() const {
+  return HostAddress(200, kStorePort);
+}
+
+std::string PlatformWorld::ZoneOf(int index) const {
+  return kStandinZones[static_cast<size_t>(index) % zones_].zone;
+}
+
+void PlatformWorld::SetStoreAddress(int index, const Address& address) {
+  store_addresses_[index] = address;
+}
+
 Address PlatformWorld::CallersOf(int index) const {
   return HostAddress(index, kCallersPort);
 }
@@ -383,16 +394,25 @@
   const std::string ip = HostAddress(index, 0).ip;
   const std::string first = HostAddress(1, kOperatorsPort).ToString();
   std::ostringstream os;
-  os << "node=host-" << index << "\nip=" << ip
-     << "\nzone=cuyo-a\nregion=cuyo\nzones.cuyo-a=cuyo\n"
-     << "listen.front=" << CallersOf(index).ToString()
+  os << "node=host-" << index << "\nip=" << ip << "\nzone=" << ZoneOf(index)
+     << "\n";
+  for (size_t i = 0; i < zones_; ++i) {
+    const StandinZone& it = kStandinZones[i];
+    os << "zones." << it.zone << "=" << it.region << "\n";
+    if (ZoneOf(index) == it.zone)
+      os << "region=" << it.region << "\n";
+  }
+  const auto store = store_addresses_.find(index);
+  os << "listen.front=" << CallersOf(index).ToString()
      << "\nlisten.ready=" << HostAddress(index, kReadinessPort).ToString()
      << "\nlisten.directory=" << HostAddress(index, kDirectoryPort).ToString()
      << "\nlisten.control=" << OperatorsOf(index).ToString()
      << "\ninternal-ports=7660,7675\nseeds=" << first
      << "\nbounds=grace-s=3,retry-budget-ratio=0.2,retry-budget-slack=100,"
         "budget-window-s=10,ttl_max_s=5\nplatform.address="
-     << HostAddress(200, kStorePort).ToString() << "\n";
+     << (store == store_addresses_.end() ? StoreAddress() : store->second)
+            .ToString()
+     << "\n";
   return os.str();
 }
 
@@ -518,14 +538,20 @@
 }
 
 bool PlatformWorld::WaitEnd(int index, std::chrono::milliseconds time) {
-  const pid_t pid = gateways_.at(index);
   // The event loop may have collected the process's end already.
-  const bool ended = RunUntil(time, [pid] {
-    return waitpid(pid, nullptr, WNOHANG) == pid || kill(pid, 0) != 0;
-  });
-  if (ended)
-    gateways_.erase(index);
-  return ended;
+  return RunUntil(time, [&] { return HasEnded(index); });
+}
+
+bool PlatformWorld::HasEnded(int index) {
+  const auto it = gateways_.find(index);
+  if (it == gateways_.end())
+    return true;
+  const pid_t pid = it->second;
+  // The event loop may have collected the process's end already.
+  if (waitpid(pid, nullptr, WNOHANG) != pid && kill(pid, 0) == 0)
+    return false;
+  gateways_.erase(it);
+  return true;
 }
 
 std::string RequestText(const std::string& method,
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -166,6 +167,13 @@
   bool closed_ = false;
 };
 
+struct StandinZone {
+  const char* zone;
+  const char* region;
+};
+inline constexpr std::array<StandinZone, 3> kStandinZones = {
+    {{"cuyo-a", "cuyo"}, {"pampa-a", "pampa"}, {"litoral-a", "litoral"}}};
+
 // A store, endpoints and gateway processes on loopback addresses
 // 127.NETWORK.x.y.
 class PlatformWorld {
@@ -186,6 +194,14 @@
   bool WaitReady(int index);
   void Signal(int index, int signal);
   bool WaitEnd(int index, std::chrono::milliseconds time);
+  // Whether the gateway's process has ended; it is forgotten then.
+  bool HasEnded(int index);
+
+  // Gateway `index` reaches the store at `address` from its next start on.
+  void SetStoreAddress(int index, const Address& address);
+  // Spreads hosts that start from now on over all zones of kStandinZones.
+  void UseAllZones() { zones_ = kStandinZones.size(); }
+  std::string ZoneOf(int index) const;
 
   // Runs the loop until `done` holds; false after `time`.
   bool RunUntil(std::chrono::milliseconds time,
@@ -198,13 +214,15 @@
 
   Loop& loop() { return loop_; }
   PlatformStandinStore& store() { return *store_; }
+  // Address of the deployment's network.
+  Address HostAddress(int index, uint16_t port) const;
+  Address StoreAddress() const;
   Address CallersOf(int index) const;
   Address OperatorsOf(int index) const;
   std::string LogOf(int index) const;
 
  private:
   std::string SettingsText(int index) const;
-  Address HostAddress(int index, uint16_t port) const;
 
   int network_;
   Loop loop_;
@@ -212,6 +230,8 @@
   std::unique_ptr<PlatformStandinStore> store_;
   std::vector<std::unique_ptr<PlatformStandinEndpoint>> endpoints_;
   std::map<int, pid_t> gateways_;
+  std::map<int, Address> store_addresses_;  // Where not StoreAddress().
+  size_t zones_ = 1;
 };
 
 // Text of a request with the platform's fields.
