Let objects wait for their own endpoint before they go elsewhere

An object went to its second endpoint as soon as the first had no free slot; there it took three times as long and made that endpoint forget another object, so that all became slow on several. Change: an object leaves its endpoint only when a round of the slots waits.

--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -16,6 +16,11 @@
 // Requests that wait in an endpoint's own queue, as a multiple of its slots,
 // before it counts as full.
 constexpr double kFullQueuePerSlot = 2.0;
+// Requests that wait at an object's own endpoint, as a multiple of its slots,
+// before the object goes elsewhere. An endpoint that has not handled it takes
+// about three times as long, and forgets another object for it, so that waiting
+// for one round of the slots is quicker for all.
+constexpr double kSpillQueuePerSlot = 1.0;
 // At most this share of a service's endpoints stays ejected.
 constexpr double kMostEjected = 0.5;
 
@@ -145,7 +150,8 @@
   for (size_t i = 0; i < candidates.size(); ++i) {
     const EndpointPtr& it = *candidates[i].endpoint;
     const double load = EstimatedLoad(*it, now);
-    if (load < it->record.slots) {
+    const double queue = i == 0 ? kSpillQueuePerSlot : 0.0;
+    if (load < it->record.slots * (1.0 + queue)) {
       return {it,
               i == 0 ? PlacementReason::kPreferred : PlacementReason::kSpill,
               load};
