Read lists of many pages whole; send names in place of known objects

A first list that comes in pages was taken for none, so all hosts asked the relays for everything, 750 KB for each of 300; and a relay that is younger than its followers' knowledge sent everything, too. Ruled out: gossip (its messages grow with hosts, not with endpoints). Change: List() reads all pages; where a relay does not know all removals it sends the names of all objects and only those that have changed.

--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -194,7 +194,12 @@
                                    revision,
                                    removed,
                                    value)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefSpan, kind, from, as_of)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefSpan,
+                                   kind,
+                                   from,
+                                   as_of,
+                                   is_list,
+                                   names)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BeliefPush,
                                    doubt_ms,
                                    store_age_ms,
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -354,11 +354,14 @@
 };
 
 // Stretch of a kind's history that a push covers: the changes after revision
-// `from` up to `as_of`; the whole kind if `from` is zero.
+// `from` up to `as_of`.
 struct BeliefSpan {
   std::string kind;
   uint64_t from = 0;
   uint64_t as_of = 0;
+  // Not all removals are known; what is not among `names` is gone.
+  bool is_list = false;
+  std::vector<std::string> names;
 };
 
 // Objects of the store from a relay.
--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -76,9 +76,11 @@
   StoreStatus status = StoreStatus::kUnavailable;
   // What was read or written; the present state after a conflict.
   std::vector<StoreObject> objects;
-  // With a list: the store's revision that it shows; zero if it is not known
-  // or the list is not whole.
+  // With a list: the store's revision that it shows; zero if it is not known.
   uint64_t as_of = 0;
+  // With a list: more objects follow behind the last one. Not set in what
+  // Store::List() returns.
+  bool has_more = false;
 };
 
 // The document in a store object of `kind`; nothing if it is malformed. The
--- a/src/routing/belief_table.cc
+++ b/src/routing/belief_table.cc
@@ -35,15 +35,15 @@
   }
 }
 
-// Takes the whole list of a kind.
+// Takes the names of all objects of a kind, and those that are new or have
+// changed.
 std::vector<BeliefItem> ApplyWhole(BeliefKind& kind,
                                    const std::vector<BeliefItem>& items,
+                                   const std::set<std::string>& listed,
                                    const std::string& name,
                                    uint64_t as_of) {
   std::vector<BeliefItem> news;
-  std::set<std::string> listed;
   for (const BeliefItem& it : items) {
-    listed.insert(it.name);
     if (ApplyItem(kind, it))
       news.push_back(it);
   }
@@ -131,20 +131,23 @@
              BeliefPush& push) {
   if (kind.as_of == 0)
     return;
-  if (!KnowsRemovalsSince(kind, from))
-    from = 0;
-  push.spans.push_back({name, from, kind.as_of});
-  if (from >= kind.as_of)
-    return;
-  // An object that came back needs no removal: its new revision replaces it.
-  for (const BeliefItem& it : kind.removals) {
-    if (from > 0 && it.revision > from && kind.objects.count(it.name) == 0)
-      push.items.push_back(it);
-  }
-  for (const auto& [object, it] : kind.objects) {
-    if (it.revision > from)
-      push.items.push_back(it);
+  BeliefSpan span{name, from, kind.as_of, false, {}};
+  if (from < kind.as_of) {
+    span.is_list = !KnowsRemovalsSince(kind, from);
+    // An object that came back needs no removal: its new revision replaces it.
+    for (const BeliefItem& it : kind.removals) {
+      if (!span.is_list && it.revision > from &&
+          kind.objects.count(it.name) == 0)
+        push.items.push_back(it);
+    }
+    for (const auto& [object, it] : kind.objects) {
+      if (span.is_list)
+        span.names.push_back(object);
+      if (it.revision > from)
+        push.items.push_back(it);
+    }
   }
+  push.spans.push_back(std::move(span));
 }
 
 }  // namespace
@@ -180,7 +183,10 @@
     news = ApplyPart(known, items);
   } else if (change.as_of >= known.as_of) {
     // A replica's list may be older than what is known already.
-    news = ApplyWhole(known, items, kind, change.as_of);
+    std::set<std::string> listed;
+    for (const BeliefItem& it : items)
+      listed.insert(it.name);
+    news = ApplyWhole(known, items, listed, kind, change.as_of);
   }
   known.as_of = std::max(known.as_of, change.as_of);
   return news;
@@ -199,9 +205,11 @@
     // A sender that lags behind must not take anything back.
     if (span.from > kind.as_of || span.as_of <= kind.as_of)
       continue;
-    auto part = span.from == 0 ? ApplyWhole(kind, by_kind[span.kind], span.kind,
-                                            span.as_of)
-                               : ApplyPart(kind, by_kind[span.kind]);
+    auto part = span.is_list
+                    ? ApplyWhole(kind, by_kind[span.kind],
+                                 {span.names.begin(), span.names.end()},
+                                 span.kind, span.as_of)
+                    : ApplyPart(kind, by_kind[span.kind]);
     for (BeliefItem& item : part)
       news.push_back(std::move(item));
     kind.as_of = span.as_of;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -6,6 +6,7 @@
 
 #include <set>
 
+#include "platform/platform.h"
 #include "standins/platform_world.h"
 
 namespace sassafras {
@@ -290,6 +291,23 @@
   }));
 }
 
+// Seen at 3,000 endpoints (sweep): hosts took a list of several pages for none
+// and asked the relays for everything, which ran out of memory.
+TEST_F(GatewayTest, ListOfManyPagesIsReadWhole) {
+  world_.store().set_page_size(2);
+  for (int i = 0; i < 5; ++i)
+    world_.AddEndpoint("rondas");
+  const auto store =
+      platform::ConnectStore(world_.loop(), world_.StoreAddress());
+  std::optional<StoreReply> reply;
+  store->List({platform::kEndpointKind},
+              [&](const StoreReply& it) { reply = it; });
+  ASSERT_TRUE(world_.RunUntil(kAnswerTime, [&] { return reply.has_value(); }));
+  EXPECT_EQ(reply->status, StoreStatus::kOk);
+  EXPECT_EQ(reply->objects.size(), 5U);
+  EXPECT_GT(reply->as_of, 0U);
+}
+
 TEST_F(GatewayTest, EndpointThatLeavesGetsNothingNew) {
   StartOne(2);
   nlohmann::json record = endpoints_[0]->Record("rondas", "cuyo-a");
--- a/tests/routing/belief_table_test.cc
+++ b/tests/routing/belief_table_test.cc
@@ -197,6 +197,28 @@
   EXPECT_EQ(host.kinds["k"].objects.count("8"), 0U);
 }
 
+// A relay that started later than its followers does not know all removals;
+// it sends what has changed and the names of all.
+TEST(BeliefTableTest, YoungRelaySendsNamesOfWhatIsKnown) {
+  BeliefTable relay = MakeBeliefTable({"k"});
+  BeliefTable host = MakeBeliefTable({"k"});
+  std::vector<StoreObject> objects;
+  for (uint64_t i = 1; i <= 400; ++i)
+    objects.push_back({"k", std::to_string(i), i, "value"});
+  ApplyStoreChange(host, "k", List(objects, 400));
+  objects.erase(objects.begin() + 6);
+  objects.push_back({"k", "new", 410, "value"});
+  ApplyStoreChange(relay, "k", List(objects, 410));
+  BeliefFollowers followers;
+  const BeliefPush push = OnFollow(followers, relay, kFollower,
+                                   PositionsOf(host), Duration(0), kStart);
+  EXPECT_EQ(push.items.size(), 1U);
+  EXPECT_EQ(ApplyPush(host, push).size(), 2U);
+  EXPECT_EQ(host.kinds["k"].objects.size(), 400U);
+  EXPECT_EQ(host.kinds["k"].objects.count("7"), 0U);
+  EXPECT_EQ(host.kinds["k"].objects.count("new"), 1U);
+}
+
 // The store forgot its history: an object came and went while the relay saw
 // nothing, and the follower learned of it from another relay.
 TEST(BeliefTableTest, FollowerInsideAGapGetsTheWholeKind) {
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -139,11 +139,15 @@
 void PlatformStandinStore::AnswerList(const Session& session,
                                       const std::string& kind) {
   Json items = Json::array();
-  for (const auto& [name, object] : kinds_[kind])
-    items.push_back(BodyOf(kind, name));
-  session->Respond(
-      kHttpOk, {},
-      Json{{"items", items}, {"has-more", false}, {"as-of", revision_}}.dump());
+  const auto& objects = kinds_[kind];
+  auto it = objects.upper_bound(session->Argument("after").value_or(""));
+  for (; it != objects.end() && items.size() < page_size_; ++it)
+    items.push_back(BodyOf(kind, it->first));
+  session->Respond(kHttpOk, {},
+                   Json{{"items", items},
+                        {"has-more", it != objects.end()},
+                        {"as-of", revision_}}
+                       .dump());
 }
 
 bool PlatformStandinStore::TryAnswerWatch(Waiting& waiting) {
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -37,6 +37,8 @@
   void DeafenWatches();
   // What has changed so far is forgotten: a watch from before is told so.
   void DropHistory();
+  // Lists come in pages of so many objects.
+  void set_page_size(size_t n) { page_size_ = n; }
   // All calls are answered 503.
   void set_down(bool down) { down_ = down; }
   // Answers all watches that wait, before the end of a test.
@@ -77,6 +79,7 @@
   uint64_t revision_ = 1;
   uint64_t history_from_ = 0;
   std::vector<std::shared_ptr<Waiting>> waiting_;
+  size_t page_size_ = 500;
   bool down_ = false;
   int calls_ = 0;
 };
