Check in the soak that draining endpoints get nothing late

Change: with planned work only, an endpoint that leaves must get nothing between its drain time and its end.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -58,7 +58,8 @@
   std::string zone;
   bool has_left = false;
   Time left;
-  size_t runs_at_check = 0;
+  int arrivals_when_drained = 0;
+  int arrivals_at_check = 0;
 };
 
 struct SoakHost {
@@ -104,6 +105,7 @@
   void Restart(int host, milliseconds delay);
   void ChangeConfig();
   void Leave();
+  SoakEndpoint& EndpointOf(const std::string& id);
   void Evacuate();
   void HarmStore(Fault fault);
   void CutFromStore(int host);
@@ -287,15 +289,26 @@
   } else {
     world_.store().Delete("servers", it.id);
   }
+  Later(kDrain, [this, id = it.id] {
+    SoakEndpoint& endpoint = EndpointOf(id);
+    endpoint.arrivals_when_drained = endpoint.standin->arrivals();
+  });
   Later(kServesOn, [this, id = it.id] {
-    for (SoakEndpoint& endpoint : endpoints_) {
-      if (endpoint.id == id)
-        endpoint.proxy->set_mode(ProxyMode::kRefuse);
-    }
+    SoakEndpoint& endpoint = EndpointOf(id);
+    // Hosts that are cut off or frozen may not know that it leaves.
+    if (IsPlannedOnly() &&
+        endpoint.standin->arrivals() > endpoint.arrivals_when_drained)
+      Violate("requests reach " + id + " later than its drain time");
+    endpoint.proxy->set_mode(ProxyMode::kRefuse);
     world_.store().Delete("servers", id);
   });
 }
 
+SoakEndpoint& SoakRun::EndpointOf(const std::string& id) {
+  return *std::find_if(endpoints_.begin(), endpoints_.end(),
+                       [&](const auto& it) { return it.id == id; });
+}
+
 void SoakRun::Evacuate() {
   const std::string zone = kStandinZones[Pick(kStandinZones.size())].zone;
   Note("evacuate " + zone);
@@ -341,10 +354,9 @@
   if (Pick(2) == 0)
     it.proxy->ResetAll();
   Later(PickTime(200, 2000), [this, id = it.id] {
-    for (SoakEndpoint& endpoint : endpoints_) {
-      if (endpoint.id == id && !endpoint.has_left)
-        endpoint.proxy->set_mode(ProxyMode::kPass);
-    }
+    SoakEndpoint& endpoint = EndpointOf(id);
+    if (!endpoint.has_left)
+      endpoint.proxy->set_mode(ProxyMode::kPass);
   });
 }
 
@@ -440,15 +452,14 @@
 // to endpoints that have left.
 void SoakRun::CheckCalm() {
   for (SoakEndpoint& it : endpoints_)
-    it.runs_at_check = it.standin->arrivals();
+    it.arrivals_at_check = it.standin->arrivals();
   for (int host = 1; host <= options_.hosts; ++host)
     AnswersAsConfigured(host);
   const Time from = loop().Now();
   Wait(milliseconds(1500));
   for (const SoakEndpoint& it : endpoints_) {
     const bool is_late = it.has_left && loop().Now() - it.left > kDrain * 2;
-    if (is_late &&
-        static_cast<size_t>(it.standin->arrivals()) > it.runs_at_check)
+    if (is_late && it.standin->arrivals() > it.arrivals_at_check)
       Violate("requests reach " + it.id + ", which has left");
   }
   Wait(kRouteTimeout + kTimeoutSlack);
