Log where a request's time goes and what its endpoint reported

Callers' uploads miss their floor; from the log one could not tell whether they wait before sending, in an endpoint's queue or only in some regions. The line of an answered request now says its rank, when it was placed and sent, the endpoint's region and its reported load; endpoints' times go into a histogram by service and rank. No decision changes.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -193,6 +193,8 @@
     Refuse("no_time", verdict.retry_after);
     return;
   }
+  if (first_placed_at_ == Time())
+    first_placed_at_ = now;
   OnPlaced(*config_, *placement.endpoint, now);
   Connect(placement.endpoint);
 }
@@ -281,6 +283,7 @@
   t.reader = NewAnswerReader(kAnswerLimits, request_.method == "HEAD");
   t.sent = true;
   t.sent_at = state_.loop.Now();
+  last_sent_at_ = t.sent_at;
   ++sends_;
   t.stream->Write(FormatRequestHead(request_.method, request_.target, fields));
   SendBody();
@@ -377,6 +380,7 @@
     return true;
   }
   t.has_answer = true;
+  last_report_ = t.answer.load;
   if (t.answer.load) {
     OnReport(*t.endpoint, {t.answer.load->running, t.answer.load->waiting,
                            t.answer.load->slots, state_.loop.Now()});
@@ -485,6 +489,10 @@
       OnSuccess(endpoint, now);
       OnServiceTime(state_.admission, service_, route_->name,
                     now - ended.sent_at);
+      state_.metrics.Observe("gateway_endpoint_seconds",
+                             "service=\"" + service_.value() + "\",rank=\"" +
+                                 std::to_string(route_->priority) + "\"",
+                             now - ended.sent_at);
       break;
     case TryOutcome::kNotRun:
       endpoint.last_success = now;
@@ -642,6 +650,9 @@
   finished_ = true;
   timer_.reset();
   const Duration took = state_.loop.Now() - arrived_;
+  const auto since_arrival = [&](Time at) {
+    return at == Time() ? -1 : Millis(at - arrived_);
+  };
   LogLine(LogLevel::kInfo, "request", "Answered.")
       .With("id", request_.id)
       .With("route", route_ ? route_->name : "-")
@@ -654,6 +665,13 @@
       .With("endpoint",
             tried_.empty() ? EndpointId("-") : tried_.back()->record.id)
       .With("load", load_seen_)
+      .With("rank", route_ ? route_->priority : -1)
+      .With("placed_ms", since_arrival(first_placed_at_))
+      .With("sent_ms", since_arrival(last_sent_at_))
+      .With("running", last_report_ ? last_report_->running : -1)
+      .With("waiting", last_report_ ? last_report_->waiting : -1)
+      .With("region",
+            tried_.empty() ? RegionId("-") : tried_.back()->record.region)
       .With("ms", Millis(took))
       .With("config", config_ ? config_->version : 0);
   const std::string labels =
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -154,6 +154,10 @@
   bool caller_gone_ = false;
   bool deadline_extended_ = false;
   double load_seen_ = 0;  // At the last placement.
+  Time first_placed_at_;  // Zero: the request was never placed.
+  Time last_sent_at_;     // Zero: nothing was sent.
+  // The load that the last answering endpoint reported.
+  std::optional<WireAnswer::Load> last_report_;
   std::unique_ptr<Watch> timer_;
   std::unique_ptr<Watch> connect_timer_;
 };
