Set endpoints apart for short urgent requests

Cause: endpoints serve first come, first served, and nothing of ours looked at a route's rank, so uploads (0.23 s of work) waited in queues behind archive reads (0.8 to 2.6 s).

Change: where the targets of a service's routes lie far apart, long requests of low rank leave endpoints of each region alone, twice as many as urgent demand needs, and urgent ones go there first. The hosts tell each other their demand by gossip, so that all divide a service alike. It works with what a host knows: it needs no report of a queue.

Tried first: each host divides by its own demand only.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -110,6 +110,7 @@
   deadline_ = arrived_ + limit;
   OnRequest(state_.retries[service_], state_.settings.retry_bound,
             state_.loop.Now());
+  NoteDemand();
   StartTimer(TimeLeft());
   if (!has_body_)
     body_complete_ = true;
@@ -117,6 +118,16 @@
     TryNext();
 }
 
+// Counts the request into its service's demand. All tries of the request see
+// the endpoints divided alike.
+void GatewayExchange::NoteDemand() {
+  ServiceDemand& demand = state_.demands[service_];
+  is_long_ = IsLongWork(*config_, service_, *route_);
+  reserved_share_ = demand.reserved_share;
+  OnDemand(demand, *route_, is_long_, ExpectedTime(state_.admission, *route_),
+           state_.loop.Now());
+}
+
 void GatewayExchange::StartTimer(Duration delay) {
   timer_ = state_.loop.After(std::max(delay, Duration(0)),
                              [weak = weak_from_this()] {
@@ -175,6 +186,8 @@
   query.affinity_key = request_.affinity_key;
   query.random = HashPair(HashOfId(), tried_.size());
   query.is_heavy = IsHeavy(state_.body_sizes, *route_);
+  query.is_long = is_long_;
+  query.reserved_share = reserved_share_;
   for (const EndpointPtr& it : tried_)
     query.tried.push_back(it.get());
   const Placement placement =
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -94,6 +94,7 @@
     Time sent_at;
   };
 
+  void NoteDemand();
   void TryNext();
   void Connect(const EndpointPtr& endpoint);
   void OnConnected();
@@ -135,6 +136,8 @@
   std::shared_ptr<const SteeringConfig> config_;
   const RequestRoute* route_ = nullptr;
   ServiceId service_;
+  bool is_long_ = false;
+  double reserved_share_ = 0;
   Time arrived_;
   Time deadline_;
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "routing/host_members.h"
 #include "routing/placement.h"
 #include "routing/steering_config.h"
+#include "routing/urgent_reserve.h"
 
 namespace sassafras {
 
@@ -37,6 +38,7 @@
   PlacementContext placement;
   AdmissionState admission;
   BodySizes body_sizes;
+  ServiceDemands demands;
   std::unordered_map<ServiceId, RetryAllowance> retries;
   EndpointPool pool;
   Metrics metrics;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -4,8 +4,10 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cmath>
 #include <cstring>
 #include <utility>
 
@@ -13,6 +15,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/reserves.h"
 
 namespace sassafras {
 
@@ -51,6 +54,15 @@
   return it;
 }
 
+// Slots are sent as whole thousandths, which take fewer bytes than reals.
+uint32_t ToThousandths(double slots) {
+  return static_cast<uint32_t>(std::lround(std::max(slots, 0.0) * 1000));
+}
+
+double FromThousandths(uint32_t n) {
+  return n / 1000.0;
+}
+
 sockaddr_in SockaddrOf(const std::string& ip, uint16_t port) {
   sockaddr_in out{};
   out.sin_family = AF_INET;
@@ -72,10 +84,16 @@
     beats.push_back(it.id_hash);
     beats.push_back(it.beat);
   }
+  Json demands = Json::array();
+  for (const DemandNotice& it : message.demands) {
+    demands.push_back(it.service_hash);
+    demands.push_back(ToThousandths(it.urgent_slots));
+    demands.push_back(ToThousandths(it.long_slots));
+  }
   std::string out;
-  Json::to_cbor(
-      Json::array({kProtocolVersion, std::move(notices), std::move(beats)}),
-      out);
+  Json::to_cbor(Json::array({kProtocolVersion, std::move(notices),
+                             std::move(beats), std::move(demands)}),
+                out);
   return out;
 }
 
@@ -96,6 +114,13 @@
       out.beats.push_back(
           {beats[i].get<uint32_t>(), beats[i + 1].get<uint64_t>()});
     }
+    // Hosts of the release before send no demand.
+    const Json demands = json.size() > 3 ? json[3] : Json::array();
+    for (size_t i = 0; i + 2 < demands.size(); i += 3) {
+      out.demands.push_back({demands[i].get<uint32_t>(),
+                             FromThousandths(demands[i + 1].get<uint32_t>()),
+                             FromThousandths(demands[i + 2].get<uint32_t>())});
+    }
     return out;
   } catch (const std::exception& e) {
     return fail(e.what());
@@ -149,6 +174,7 @@
 
 void Gossip::OnTick() {
   UpdateAlive();
+  RefreshReserves(state_);
   const GossipRound round =
       NextRound(state_.members, state_.settings.seed_ips,
                 state_.settings.regions, state_.loop.Now());
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -45,6 +45,12 @@
   AddSample(state.by_service[service], time);
 }
 
+Duration ExpectedTime(const AdmissionState& state, const RequestRoute& route) {
+  const auto it = state.by_route.find(route.name);
+  return it == state.by_route.end() ? route.target_latency
+                                    : FromSeconds(it->second.mean_seconds);
+}
+
 AdmissionVerdict Admit(const AdmissionState& state,
                        const AdmissionRequest& request) {
   AdmissionVerdict verdict;
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -31,6 +31,10 @@
                    const std::string& route,
                    Duration time);
 
+// Time that an endpoint is expected to take for a request of the route: the
+// mean of those seen, else the route's target.
+Duration ExpectedTime(const AdmissionState& state, const RequestRoute& route);
+
 struct AdmissionRequest {
   const ServiceId* service = nullptr;
   const std::string* route = nullptr;
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -167,11 +167,24 @@
   }
 }
 
+bool IsInUse(const EndpointSet& set, const EndpointView& endpoint) {
+  return (endpoint.state == EndpointState::kReady ||
+          endpoint.state == EndpointState::kMissing) &&
+         set.evacuated.count(endpoint.record.zone) == 0;
+}
+
+double SlotsInUse(const EndpointSet& set, const ServiceId& service) {
+  const auto it = set.by_service.find(service);
+  if (it == set.by_service.end())
+    return 0;
+  double slots = 0;
+  for (const EndpointPtr& endpoint : it->second)
+    slots += IsInUse(set, *endpoint) ? endpoint->record.slots : 0;
+  return slots;
+}
+
 bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now) {
-  if (endpoint.state == EndpointState::kDraining ||
-      endpoint.state == EndpointState::kGone)
-    return false;
-  if (set.evacuated.count(endpoint.record.zone) > 0)
+  if (!IsInUse(set, endpoint))
     return false;
   return endpoint.state != EndpointState::kMissing ||
          now - endpoint.last_success < kRecentSuccess;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -128,6 +128,13 @@
                    Duration warmup,
                    Time now);
 
+// Whether the endpoint belongs to its service's capacity: registered or
+// lapsed, and not evacuated.
+bool IsInUse(const EndpointSet& set, const EndpointView& endpoint);
+
+// Slots of the service's endpoints that are in use.
+double SlotsInUse(const EndpointSet& set, const ServiceId& service);
+
 // Whether new requests may be sent to the endpoint, apart from its load.
 bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now);
 
--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -23,6 +23,7 @@
 GossipMessage MessageToSend(const HostMembers& members, Time now) {
   GossipMessage out;
   out.notices.push_back(members.self);
+  out.demands = members.own_demands;
   for (const auto& [id, member] : members.others) {
     // The count of a silent host says nothing new.
     if (!IsAlive(member, now))
@@ -74,6 +75,16 @@
       });
 }
 
+void TakeDemands(HostMembers& members, const GossipMessage& message, Time now) {
+  if (message.notices.empty())
+    return;
+  const auto sender = members.others.find(message.notices.front().id);
+  if (sender == members.others.end() || message.demands.empty())
+    return;
+  sender->second.demands = message.demands;
+  sender->second.demands_heard = now;
+}
+
 }  // namespace
 
 bool IsAlive(const Member& member, Time now) {
@@ -84,6 +95,10 @@
   return static_cast<uint32_t>(HashText(id.value()));
 }
 
+uint32_t ShortHash(const ServiceId& id) {
+  return static_cast<uint32_t>(HashText(id.value()));
+}
+
 GossipMessage WholeMessage(const HostMembers& members, Time now) {
   GossipMessage out;
   out.notices.push_back(members.self);
@@ -160,7 +175,7 @@
       continue;
     const auto known = members.others.find(it.id);
     if (known == members.others.end()) {
-      members.others[it.id] = {it, now, now};
+      members.others[it.id] = {it, now, now, {}, {}};
       news.back.push_back(it.id);
       continue;
     }
@@ -174,6 +189,7 @@
     member.notice = it;
     member.heard = now;
   }
+  TakeDemands(members, message, now);
   std::unordered_map<uint32_t, uint64_t> beats;
   for (const BeatNotice& it : message.beats)
     beats[it.id_hash] = it.beat;
@@ -193,7 +209,7 @@
   if (notice.id == members.self.id || members.others.count(notice.id) > 0)
     return;
   // Its record may be old: it counts as silent until it is heard.
-  members.others[notice.id] = {notice, now - kHostSilence, now};
+  members.others[notice.id] = {notice, now - kHostSilence, now, {}, {}};
 }
 
 size_t CountAlive(const HostMembers& members, Time now) {
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -51,10 +51,20 @@
   double cpu_share = 0;
 };
 
+// Slots' worth of work that a host is asked for on one service; see
+// urgent_reserve.h.
+struct DemandNotice {
+  uint32_t service_hash = 0;
+  double urgent_slots = 0;
+  double long_slots = 0;
+};
+
 struct Member {
   HostNotice notice;
   Time heard;    // When its count last grew, or was first seen.
   Time changed;  // When anything but its count last changed.
+  std::vector<DemandNotice> demands;
+  Time demands_heard;  // Zero: never.
 };
 
 // The count of a host that is known, in place of its whole notice.
@@ -65,9 +75,11 @@
 
 // Tells the hosts of a deployment apart in short notices.
 uint32_t ShortHash(const HostId& id);
+uint32_t ShortHash(const ServiceId& id);
 
 struct HostMembers {
   HostNotice self;
+  std::vector<DemandNotice> own_demands;
   std::unordered_map<HostId, Member> others;
   std::mt19937_64 random;
 };
@@ -98,6 +110,8 @@
 struct GossipMessage {
   std::vector<HostNotice> notices;  // The sender's own comes first.
   std::vector<BeatNotice> beats;
+  // The sender's own, of services that it has demand for.
+  std::vector<DemandNotice> demands;
 };
 
 // What one round sends, and to which IP numbers.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "base/hash.h"
@@ -33,8 +34,9 @@
 
 struct Candidate {
   const EndpointPtr* endpoint = nullptr;
-  uint64_t rank = 0;       // Within its region.
-  double region_rank = 0;  // Of its region.
+  bool is_reserved = false;  // For requests like this one.
+  uint64_t rank = 0;         // Within its region.
+  double region_rank = 0;    // Of its region.
 };
 
 bool IsAllowed(const RequestRoute& route, const EndpointView& endpoint) {
@@ -105,8 +107,8 @@
         part == parts.end() ? kLeastPart : std::max(part->second, kLeastPart));
   }
   std::sort(all.begin(), all.end(), [](const Candidate& a, const Candidate& b) {
-    return a.region_rank != b.region_rank ? a.region_rank > b.region_rank
-                                          : a.rank > b.rank;
+    return std::tie(a.region_rank, a.is_reserved, a.rank) >
+           std::tie(b.region_rank, b.is_reserved, b.rank);
   });
   Candidates out;
   for (size_t i = 0; i < all.size() && out.size() < kCandidates; ++i) {
@@ -121,8 +123,27 @@
   return out;
 }
 
+// Which of a service's endpoints a request may go to, the first ones first.
+struct Pools {
+  std::vector<EndpointPtr> first;
+  std::vector<EndpointPtr> others;
+};
+
+Pools FindPools(const EndpointSet& set,
+                const std::vector<EndpointPtr>& endpoints,
+                const PlacementRequest& request,
+                Time now) {
+  if (request.reserved_share <= 0)
+    return {endpoints, {}};
+  EndpointSplit split =
+      SplitEndpoints(set, endpoints, request.reserved_share, now);
+  if (request.is_long)
+    return {std::move(split.long_work), {}};
+  return {std::move(split.urgent), std::move(split.long_work)};
+}
+
 Candidates FindCandidates(const EndpointSet& set,
-                          const std::vector<EndpointPtr>& endpoints,
+                          const Pools& pools,
                           const PlacementContext& context,
                           const PlacementRequest& request,
                           bool with_ejected,
@@ -131,13 +152,18 @@
                            ? request.random
                            : HashText(request.affinity_key);
   Candidates all;
-  for (const EndpointPtr& it : endpoints) {
-    if (IsAvailable(set, *it, context, request, with_ejected, now))
-      all.push_back({&it, HashPair(key, it->hash), 0});
-  }
+  const auto add = [&](const std::vector<EndpointPtr>& endpoints,
+                       bool is_reserved) {
+    for (const EndpointPtr& it : endpoints) {
+      if (IsAvailable(set, *it, context, request, with_ejected, now))
+        all.push_back({&it, is_reserved, HashPair(key, it->hash), 0});
+    }
+  };
+  add(pools.first, true);
+  add(pools.others, false);
   const double home_bias = request.is_heavy ? 1.0 : kHomeBias;
   return TakeFirst(std::move(all),
-                   RegionParts(set, endpoints, context, home_bias), key);
+                   RegionParts(set, pools.first, context, home_bias), key);
 }
 
 size_t CountEjected(const std::vector<EndpointPtr>& endpoints, Time now) {
@@ -186,9 +212,7 @@
   std::map<RegionId, double> capacity;
   double total = 0;
   for (const EndpointPtr& it : endpoints) {
-    const bool is_in_use = it->state == EndpointState::kReady ||
-                           it->state == EndpointState::kMissing;
-    if (!is_in_use || set.evacuated.count(it->record.zone) > 0)
+    if (!IsInUse(set, *it))
       continue;
     capacity[it->record.region] += it->record.slots;
     total += it->record.slots;
@@ -232,10 +256,16 @@
   const double ejected = static_cast<double>(CountEjected(endpoints, now));
   const bool with_ejected =
       ejected > kMostEjected * static_cast<double>(endpoints.size());
+  Pools pools = FindPools(set, endpoints, request, now);
   Candidates candidates =
-      FindCandidates(set, endpoints, context, request, with_ejected, now);
+      FindCandidates(set, pools, context, request, with_ejected, now);
+  if (candidates.empty() && request.reserved_share > 0) {
+    pools = {endpoints, {}};
+    candidates =
+        FindCandidates(set, pools, context, request, with_ejected, now);
+  }
   if (candidates.empty())
-    candidates = FindCandidates(set, endpoints, context, request, true, now);
+    candidates = FindCandidates(set, pools, context, request, true, now);
   if (candidates.empty())
     return {};
   Placement placement = request.affinity_key.empty() || !request.route->sticky
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "routing/endpoint_set.h"
 #include "routing/steering_config.h"
+#include "routing/urgent_reserve.h"
 
 namespace sassafras {
 
@@ -47,6 +48,10 @@
   std::string_view affinity_key;  // Empty: the request concerns no object.
   uint64_t random = 0;            // Spreads requests without a key.
   bool is_heavy = false;          // Carries many bytes.
+  // Long work of a lower rank; see urgent_reserve.h.
+  bool is_long = false;
+  // Share of the endpoints that long work leaves to others.
+  double reserved_share = 0;
   std::vector<const EndpointView*> tried;
 };
 
--- a/src/routing/steering_config.cc
+++ b/src/routing/steering_config.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <map>
+#include <optional>
 
 #include "base/hash.h"
 
@@ -9,6 +11,40 @@
 
 namespace {
 
+// Targets that lie this many times apart tell long work from short: requests
+// that wait for one of the long ones miss their own target.
+constexpr double kLongTargets = 2.5;
+
+// The shortest and longest target of a rank's routes.
+struct TargetRange {
+  Duration shortest = Duration::max();
+  Duration longest{};
+};
+
+using TargetsByRank = std::map<int, TargetRange>;
+
+// The rank behind the widest gap between targets; null if none is wide enough.
+std::optional<int> FindLongRank(const TargetsByRank& targets) {
+  std::optional<int> rank;
+  double widest = kLongTargets;
+  Duration longest_before{};
+  for (auto it = targets.begin(); it != targets.end(); ++it) {
+    const Duration shortest_behind =
+        std::min_element(it, targets.end(), [](const auto& a, const auto& b) {
+          return a.second.shortest < b.second.shortest;
+        })->second.shortest;
+    const double gap = longest_before > Duration(0)
+                           ? Seconds(shortest_behind) / Seconds(longest_before)
+                           : 0;
+    if (gap >= widest) {
+      widest = gap;
+      rank = it->first;
+    }
+    longest_before = std::max(longest_before, it->second.longest);
+  }
+  return rank;
+}
+
 std::string HostName(std::string_view host) {
   std::string name(host.substr(0, host.rfind(':')));
   std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
@@ -32,6 +68,33 @@
   }
 }
 
+void FindLongRanks(SteeringConfig& config) {
+  std::unordered_map<ServiceId, TargetsByRank> services;
+  for (const auto& [host, routes] : config.hosts) {
+    for (const RequestRoute& route : routes) {
+      for (const SplitPart& part : route.parts) {
+        if (part.weight <= 0)
+          continue;
+        TargetRange& range = services[part.service][route.priority];
+        range.shortest = std::min(range.shortest, route.target_latency);
+        range.longest = std::max(range.longest, route.target_latency);
+      }
+    }
+  }
+  config.long_ranks.clear();
+  for (const auto& [service, targets] : services) {
+    if (const auto rank = FindLongRank(targets))
+      config.long_ranks[service] = *rank;
+  }
+}
+
+bool IsLongWork(const SteeringConfig& config,
+                const ServiceId& service,
+                const RequestRoute& route) {
+  const auto it = config.long_ranks.find(service);
+  return it != config.long_ranks.end() && route.priority >= it->second;
+}
+
 const RequestRoute* FindRoute(const SteeringConfig& config,
                               std::string_view host,
                               std::string_view path) {
--- a/src/routing/steering_config.h
+++ b/src/routing/steering_config.h
@@ -75,11 +75,24 @@
   // Routes of a host name, longest prefix first; see SortRoutes().
   std::unordered_map<std::string, std::vector<RequestRoute>> hosts;
   std::unordered_map<ServiceId, ServiceConfig> services;
+  // Requests of these ranks and lower ones are long for their service, against
+  // those that are more urgent; see FindLongRanks().
+  std::unordered_map<ServiceId, int> long_ranks;
 };
 
 // Brings each host's routes into the order that FindRoute() needs.
 void SortRoutes(SteeringConfig& config);
 
+// Fills `long_ranks`: a service whose routes of low rank allow answers several
+// times the time of all more urgent ones is divided there. Services without
+// such a gap get no entry.
+void FindLongRanks(SteeringConfig& config);
+
+// Whether requests of `route` are long for `service`.
+bool IsLongWork(const SteeringConfig& config,
+                const ServiceId& service,
+                const RequestRoute& route);
+
 // The route with the longest prefix of `path` (without query) among those of
 // `host` (with or without port); null if there is none.
 const RequestRoute* FindRoute(const SteeringConfig& config,
--- a/tests/routing/host_members_test.cc
+++ b/tests/routing/host_members_test.cc
@@ -202,6 +202,28 @@
     EXPECT_EQ(CountAlive(members, now), 4U) << ip;
 }
 
+TEST(HostMembersTest, DemandIsHeardFromItsHostOnly) {
+  HostMembers members;
+  GossipMessage message;
+  for (int i = 1; i <= 2; ++i) {
+    HostNotice notice;
+    notice.id = HostId("h" + std::to_string(i));
+    notice.incarnation = 1;
+    message.notices.push_back(notice);
+  }
+  message.demands = {{7, 1.25, 30.5}};
+  const auto sent = TryOr([&] { return DecodeGossip(EncodeGossip(message)); },
+                          [](const Error&) { return GossipMessage(); });
+  OnGossip(members, sent, kStart);
+  const Member& sender = members.others.at(HostId("h1"));
+  ASSERT_EQ(sender.demands.size(), 1U);
+  EXPECT_EQ(sender.demands[0].service_hash, 7U);
+  EXPECT_DOUBLE_EQ(sender.demands[0].urgent_slots, 1.25);
+  EXPECT_DOUBLE_EQ(sender.demands[0].long_slots, 30.5);
+  EXPECT_EQ(sender.demands_heard, kStart);
+  EXPECT_TRUE(members.others.at(HostId("h2")).demands.empty());
+}
+
 TEST(DirectoryTest, ZoneWithFewHostsIsNotLeftAlone) {
   HostMembers members;
   const auto add = [&](int i, const char* zone) {
@@ -211,7 +233,7 @@
     notice.caller_port = 80;
     notice.zone = ZoneId(zone);
     notice.phase = HostPhase::kReady;
-    members.others[notice.id] = {notice, kStart};
+    members.others[notice.id] = {notice, kStart, {}, {}, {}};
   };
   add(1, "a");
   add(2, "a");
--- a/tests/routing/placement_load_test.cc
+++ b/tests/routing/placement_load_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/hash.h"
+#include "routing/admission.h"
 #include "routing/placement.h"
 
 namespace sassafras {
@@ -102,6 +103,9 @@
     }
     for (int i = 0; i < fleet_.hosts; ++i)
       hosts_.emplace_back();
+    demands_.resize(hosts_.size());
+    admissions_.resize(hosts_.size());
+    FindLongRanks(config_);
     for (int i = 0; i < fleet_.endpoints; ++i)
       AddEndpoint();
   }
@@ -122,6 +126,15 @@
       ApplyRemoval(it, EndpointId("e" + std::to_string(i)), now_);
   }
 
+  // Endpoints that long requests may go to, as the first host sees it.
+  size_t CountLongEndpoints() const {
+    const auto& endpoints = hosts_[0].by_service.at(kService);
+    const double share = demands_[0].reserved_share;
+    return share > 0 ? SplitEndpoints(hosts_[0], endpoints, share, now_)
+                           .long_work.size()
+                     : endpoints.size();
+  }
+
   void SetRate(size_t kind, double rate) { kinds_[kind].rate = rate; }
 
   // Requests come at random; returns how those of each kind ended that came
@@ -143,6 +156,8 @@
       next += FromSeconds(gap(random_));
       FinishUntil(next, counted, out);
       now_ = next;
+      if (now_ >= next_exchange_)
+        ExchangeDemand();
       Arrival arrival;
       arrival.kind = kind(random_);
       arrival.host = static_cast<int>(random_() % hosts_.size());
@@ -165,8 +180,12 @@
     request.service = &kService;
     request.route = &config_.hosts["h"][arrival.kind];
     request.affinity_key = key;
-    const Placement placed = PlaceRequest(
-        hosts_[static_cast<size_t>(arrival.host)], {}, request, now_);
+    const auto host = static_cast<size_t>(arrival.host);
+    request.is_long = IsLongWork(config_, kService, *request.route);
+    OnDemand(demands_[host], *request.route, request.is_long,
+             ExpectedTime(admissions_[host], *request.route), now_);
+    request.reserved_share = demands_[host].reserved_share;
+    const Placement placed = PlaceRequest(hosts_[host], {}, request, now_);
     if (!placed.endpoint)
       return false;
     arrival.view = placed.endpoint;
@@ -180,6 +199,18 @@
     return true;
   }
 
+  // What gossip does between the hosts.
+  void ExchangeDemand() {
+    next_exchange_ = now_ + kGossipPeriod;
+    FleetDemand fleet;
+    for (const ServiceDemand& it : demands_) {
+      fleet.urgent_slots += DemandedSlots(it.urgent, now_);
+      fleet.long_slots += DemandedSlots(it.long_work, now_);
+    }
+    for (size_t i = 0; i < hosts_.size(); ++i)
+      UpdateReserve(demands_[i], fleet, SlotsInUse(hosts_[i], kService));
+  }
+
   void Serve(int i) {
     ModelEndpoint& it = endpoints_[static_cast<size_t>(i)];
     while (it.running < fleet_.slots && !it.queue.empty()) {
@@ -205,6 +236,9 @@
       OnReport(
           *end.arrival.view,
           {it.running, static_cast<int>(it.queue.size()), fleet_.slots, now_});
+      OnServiceTime(admissions_[static_cast<size_t>(end.arrival.host)],
+                    kService, kinds_[end.arrival.kind].name,
+                    now_ - end.arrival.at);
       if (end.arrival.at < counted)
         continue;
       Outcome& outcome = out[end.arrival.kind];
@@ -218,8 +252,12 @@
   std::vector<Kind> kinds_;
   SteeringConfig config_;
   Time now_ = kStart;
+  Time next_exchange_ = kStart;
   std::mt19937_64 random_{7};
   std::vector<EndpointSet> hosts_;
+  // Of each host.
+  std::vector<ServiceDemand> demands_;
+  std::vector<AdmissionState> admissions_;
   std::vector<ModelEndpoint> endpoints_;
   std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
 };
@@ -271,5 +309,16 @@
   RecordProperty("reads_served", static_cast<int>(100 * out[1].Served()));
 }
 
+// No endpoint is kept for urgent requests that do not come.
+TEST(PlacementLoadTest, ReadsAloneUseEveryEndpoint) {
+  PlacementLoad load(kSharedFleet, {kUploads, kLongReads});
+  load.Run(seconds(10), seconds(0));
+  EXPECT_LT(load.CountLongEndpoints(), 12U);
+  load.SetRate(0, 0);
+  // The demand of a minute ago no longer counts.
+  load.Run(seconds(120), seconds(0));
+  EXPECT_EQ(load.CountLongEndpoints(), 12U);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -32,7 +32,7 @@
   members.self = Notice(self);
   for (int i = 0; i < n; ++i) {
     if (i != self)
-      members.others[Notice(i).id] = {Notice(i), now};
+      members.others[Notice(i).id] = {Notice(i), now, {}, {}, {}};
   }
   return members;
 }
--- /dev/null
+++ b/tests/routing/urgent_reserve_test.cc
@@ -0,0 +1,241 @@
+#include "routing/urgent_reserve.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+#include "routing/admission.h"
+#include "routing/placement.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Time kStart{seconds(1000)};
+const ServiceId kService("s");
+
+RequestRoute MakeRoute(int priority, Duration target) {
+  RequestRoute route;
+  route.name = "r" + std::to_string(priority);
+  route.priority = priority;
+  route.target_latency = target;
+  route.sticky = true;
+  route.parts = {{kService, 1.0}};
+  return route;
+}
+
+// Endpoints in regions "a", "b", ... with as many as given.
+EndpointSet MakeSet(const std::vector<int>& in_regions,
+                    Duration warmup = Duration(0)) {
+  EndpointSet set;
+  for (size_t region = 0; region < in_regions.size(); ++region) {
+    const std::string name(1, static_cast<char>('a' + region));
+    for (int i = 0; i < in_regions[region]; ++i) {
+      EndpointRecord record;
+      record.id = EndpointId(name + std::to_string(i));
+      record.service = kService;
+      record.address = {"10.0.0.1", 80};
+      record.zone = ZoneId(name + "-1");
+      record.region = RegionId(name);
+      record.slots = 3;
+      record.warmup_left = warmup;
+      ApplyRecord(set, record, kStart);
+    }
+  }
+  return set;
+}
+
+std::set<EndpointId> Ids(const std::vector<EndpointPtr>& endpoints) {
+  std::set<EndpointId> ids;
+  for (const EndpointPtr& it : endpoints)
+    ids.insert(it->record.id);
+  return ids;
+}
+
+TEST(UrgentReserveTest, ServicesAreDividedAtTheWidestGapOfTargets) {
+  struct Case {
+    const char* name;
+    std::vector<RequestRoute> routes;
+    int long_rank;  // -1: the service is not divided.
+  };
+  const std::vector<Case> cases = {
+      {"one kind", {MakeRoute(0, seconds(1))}, -1},
+      {"alike",
+       {MakeRoute(0, milliseconds(500)), MakeRoute(1, seconds(1))},
+       -1},
+      {"short and long",
+       {MakeRoute(1, milliseconds(600)), MakeRoute(2, seconds(3))},
+       2},
+      {"long is more urgent",
+       {MakeRoute(0, seconds(3)), MakeRoute(1, milliseconds(500))},
+       -1},
+      {"two gaps",
+       {MakeRoute(0, milliseconds(100)), MakeRoute(1, milliseconds(300)),
+        MakeRoute(2, seconds(3))},
+       2},
+      {"short routes of the lowest rank too",
+       {MakeRoute(0, milliseconds(500)), MakeRoute(1, seconds(3)),
+        MakeRoute(2, milliseconds(500))},
+       -1},
+      {"same rank",
+       {MakeRoute(1, milliseconds(500)), MakeRoute(1, seconds(3))},
+       -1},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    SteeringConfig config;
+    config.hosts["h"] = it.routes;
+    FindLongRanks(config);
+    const auto rank = config.long_ranks.find(kService);
+    EXPECT_EQ(rank == config.long_ranks.end() ? -1 : rank->second,
+              it.long_rank);
+  }
+}
+
+TEST(UrgentReserveTest, PartWithoutWeightDividesNoService) {
+  SteeringConfig config;
+  RequestRoute idle = MakeRoute(0, milliseconds(100));
+  idle.parts = {{kService, 0.0}, {ServiceId("other"), 1.0}};
+  config.hosts["h"] = {idle, MakeRoute(2, seconds(3))};
+  FindLongRanks(config);
+  EXPECT_TRUE(config.long_ranks.empty());
+}
+
+TEST(UrgentReserveTest, DemandIsWorkPerTime) {
+  ServiceDemand demand;
+  const RequestRoute route = MakeRoute(0, milliseconds(500));
+  Time now = kStart;
+  for (int i = 0; i < 400; ++i, now += milliseconds(100))
+    OnDemand(demand, route, false, milliseconds(200), now);
+  // Ten requests a second of 0.2 s each.
+  EXPECT_NEAR(DemandedSlots(demand.urgent, now), 2.0, 0.1);
+  EXPECT_EQ(DemandedSlots(demand.long_work, now), 0.0);
+  EXPECT_LT(DemandedSlots(demand.urgent, now + seconds(60)), 0.2);
+}
+
+TEST(UrgentReserveTest, WaitingIsNoWork) {
+  ServiceDemand slow;
+  ServiceDemand in_target;
+  const RequestRoute route = MakeRoute(0, milliseconds(500));
+  OnDemand(slow, route, false, seconds(4), kStart);
+  OnDemand(in_target, route, false, milliseconds(500), kStart);
+  EXPECT_EQ(slow.urgent.seconds, in_target.urgent.seconds);
+}
+
+TEST(UrgentReserveTest, ShareFollowsTheDemand) {
+  struct Case {
+    const char* name;
+    FleetDemand fleet;
+    double least;
+    double most;
+  };
+  const std::vector<Case> cases = {
+      {"no urgent work", {0, 50}, 0, 0},
+      {"no long work", {50, 0}, 0, 0},
+      {"little urgent work", {2, 60}, 0.05, 0.2},
+      {"flood of urgent work", {60, 20}, 0.5, 0.8},
+      {"mostly urgent work", {20, 1}, 0.9, 1.0},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    ServiceDemand demand;
+    UpdateReserve(demand, it.fleet, 36);
+    EXPECT_GE(demand.reserved_share, it.least);
+    EXPECT_LE(demand.reserved_share, it.most);
+  }
+}
+
+TEST(UrgentReserveTest, SmallChangesOfDemandMoveNoObjects) {
+  ServiceDemand demand;
+  EXPECT_TRUE(UpdateReserve(demand, {4, 40}, 36));
+  EXPECT_FALSE(UpdateReserve(demand, {4.5, 36}, 36));
+  EXPECT_FALSE(UpdateReserve(demand, {3.5, 44}, 36));
+  EXPECT_TRUE(UpdateReserve(demand, {8, 40}, 36));
+}
+
+TEST(UrgentReserveTest, HostsEstimateTheFleetsDemandAlike) {
+  ServiceDemand own;
+  OnDemand(own, MakeRoute(0, seconds(1)), false, seconds(1), kStart);
+  const double own_slots = DemandedSlots(own.urgent, kStart);
+  HostMembers members;
+  for (int i = 0; i < 4; ++i) {
+    Member& it = members.others[HostId("h" + std::to_string(i))];
+    it.heard = kStart;
+    // One host has not been heard lately, one is gone.
+    it.demands_heard = i == 0 ? kStart - seconds(30) : kStart;
+    it.demands = {{ShortHash(kService), 2.0, 3.0},
+                  {ShortHash(ServiceId("other")), 9.0, 9.0}};
+  }
+  members.others[HostId("h3")].heard = kStart - seconds(30);
+  const FleetDemand fleet = EstimateFleetDemand(own, kService, members, kStart);
+  EXPECT_NEAR(fleet.urgent_slots, (own_slots + 2 * 2.0) * 4 / 3, 1e-6);
+  EXPECT_NEAR(fleet.long_slots, 2 * 3.0 * 4 / 3, 1e-6);
+}
+
+TEST(UrgentReserveTest, EachRegionSetsItsShareApart) {
+  const EndpointSet set = MakeSet({6, 4, 2, 1});
+  const auto& endpoints = set.by_service.at(kService);
+  const EndpointSplit split = SplitEndpoints(set, endpoints, 0.3, kStart);
+  std::map<RegionId, int> urgent;
+  for (const EndpointPtr& it : split.urgent)
+    ++urgent[it->record.region];
+  EXPECT_EQ(urgent[RegionId("a")], 2);
+  EXPECT_EQ(urgent[RegionId("b")], 1);
+  EXPECT_EQ(urgent[RegionId("c")], 1);
+  // The only endpoint of a region serves both.
+  EXPECT_EQ(urgent[RegionId("d")], 1);
+  EXPECT_EQ(Ids(split.long_work).count(EndpointId("d0")), 1U);
+  EXPECT_EQ(split.urgent.size() + split.long_work.size(), endpoints.size() + 1);
+}
+
+TEST(UrgentReserveTest, LargerSharesContainSmallerOnes) {
+  const EndpointSet set = MakeSet({20});
+  const auto& endpoints = set.by_service.at(kService);
+  const auto small = Ids(SplitEndpoints(set, endpoints, 0.2, kStart).urgent);
+  const auto large = Ids(SplitEndpoints(set, endpoints, 0.4, kStart).urgent);
+  EXPECT_EQ(small.size(), 4U);
+  for (const EndpointId& it : small)
+    EXPECT_EQ(large.count(it), 1U);
+}
+
+TEST(UrgentReserveTest, EvacuatedAndColdEndpointsAreNotSetApart) {
+  EndpointSet set = MakeSet({4});
+  EndpointSet cold = MakeSet({4}, seconds(5));
+  SetEvacuated(set, ZoneId("a-1"));
+  const auto urgent = [](const EndpointSet& it) {
+    return SplitEndpoints(it, it.by_service.at(kService), 0.5, kStart).urgent;
+  };
+  EXPECT_TRUE(urgent(set).empty());
+  EXPECT_TRUE(urgent(cold).empty());
+}
+
+TEST(UrgentReserveTest, LongRequestsLeaveTheReserveAloneWhileOthersAreLeft) {
+  EndpointSet set = MakeSet({4});
+  const RequestRoute route = MakeRoute(2, seconds(3));
+  const auto reserved = Ids(
+      SplitEndpoints(set, set.by_service.at(kService), 0.25, kStart).urgent);
+  ASSERT_EQ(reserved.size(), 1U);
+  const auto place = [&](const std::string& key, bool is_long) {
+    PlacementRequest request;
+    request.service = &kService;
+    request.route = &route;
+    request.affinity_key = key;
+    request.is_long = is_long;
+    request.reserved_share = 0.25;
+    return PlaceRequest(set, {}, request, kStart).endpoint->record.id;
+  };
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_EQ(reserved.count(place(std::to_string(i), true)), 0U);
+    EXPECT_EQ(reserved.count(place(std::to_string(i), false)), 1U);
+  }
+  for (const auto& [id, endpoint] : set.by_id)
+    endpoint->state = reserved.count(id) > 0 ? EndpointState::kReady
+                                             : EndpointState::kDraining;
+  EXPECT_EQ(reserved.count(place("1", true)), 1U);
+}
+
+}  // namespace
+}  // namespace sassafras
