Give up messages whose chunk sizes or trailers do not end

Seen in a test, not by callers: a chunked body whose size line, extension or trailers never ended was kept in memory without a bound, from an endpoint until the request's time was up, from a caller until the body's limit.

Cause: the parser takes these only when they are whole and sets them no limit; the head's limit ends with the head.

Fix: what the parser leaves of a body may not exceed the head's limit. The other cases (no HTTP, empty lines, status line, fields) were bounded before.

--- a/src/http1/http1.cc
+++ b/src/http1/http1.cc
@@ -31,6 +31,7 @@
 
  public:
   ReaderImpl(const HttpReadLimits& limits, bool no_body) {
+    head_bytes_ = limits.head_bytes;
     Parser::header_limit(static_cast<uint32_t>(limits.head_bytes));
     Parser::body_limit(limits.body_bytes);
     Parser::eager(true);
@@ -54,6 +55,10 @@
         break;
     }
     Advance();
+    // The parser takes a chunk's size line and the trailers only when they are
+    // whole, and sets them no limit of its own.
+    if (state_ == HttpReadState::kBody && input.size() - taken > head_bytes_)
+      state_ = HttpReadState::kHeadTooLarge;
     return taken;
   }
 
@@ -147,6 +152,7 @@
 
   void on_finish_impl(error_code&) override {}
 
+  uint64_t head_bytes_ = 0;
   HttpReadState state_ = HttpReadState::kHead;
   HttpHead head_;
   std::string body_;
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -67,6 +67,7 @@
 };
 
 struct HttpReadLimits {
+  // Of a head, and of a chunk's size line or the trailers.
   uint64_t head_bytes = 16 << 10;
   uint64_t body_bytes = 64 << 20;
 };
--- a/tests/http1/http1_test.cc
+++ b/tests/http1/http1_test.cc
@@ -110,6 +110,55 @@
   EXPECT_EQ(reader->state(), HttpReadState::kComplete);
 }
 
+struct EndlessCase {
+  const char* name;
+  std::string begin;
+  std::string more;  // Again and again.
+};
+
+// Bytes that no reader may wait for or keep without a bound: a connection on
+// which they arrive is given up well before a megabyte has gathered.
+TEST(HttpReaderTest, BytesWithoutEndAreGivenUp) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<EndlessCase> cases = {
+      {"no HTTP", "", "x"},
+      {"no HTTP, in lines", "", "hello\r\n"},
+      {"empty lines", "", "\r\n"},
+      {"status line", "HTTP/1.1 200 ", "x"},
+      {"field name", "HTTP/1.1 200 OK\r\n", "x"},
+      {"field value", "HTTP/1.1 200 OK\r\nX: ", "x"},
+      {"fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"folded field", "HTTP/1.1 200 OK\r\nX: y\r\n", " y\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "5;", "x"},
+      {"chunk extensions", chunked + "5", ";x=y"},
+      {"bytes behind a chunk", chunked + "1\r\na", "x"},
+      {"trailers", chunked + "0\r\n", "X: y\r\n"},
+      {"trailer", chunked + "0\r\nX: ", "y"},
+  };
+  constexpr size_t kMostGathered = 256 << 10;
+  for (const EndlessCase& it : cases) {
+    SCOPED_TRACE(it.name);
+    std::string more;
+    while (more.size() < 16 << 10)
+      more += it.more;
+    const auto reader = NewAnswerReader({64 << 10, 1 << 20}, false);
+    std::string input = it.begin;
+    size_t fed = 0;
+    bool is_open = true;
+    while (is_open && fed < 1 << 20) {
+      input.erase(0, reader->Read(input));
+      is_open = reader->state() == HttpReadState::kHead ||
+                reader->state() == HttpReadState::kBody;
+      input += more;
+      fed += more.size();
+    }
+    EXPECT_FALSE(is_open);
+    EXPECT_LT(fed, kMostGathered);
+  }
+}
+
 TEST(HttpWriterTest, WhatIsWrittenCanBeRead) {
   const auto reader = NewAnswerReader(kLimits, false);
   const std::string text =
