Give up answers that are not the request's and do not end

The platform's news: bytes that are no answer may come without end, in a head or a body, until the caller closes. Callers would have waited for their route's timeout, and endpoints would have sent until then.

Cause: interim answers and other requests' answers were read past without a bound; an answer that says it has not run was read to its end, its body handed on.

Fix: 1 MB of such bytes ends the try as a bad answer; an answer that says not run counts by its head once its body is long.

Evidence: AnswersWithoutEndAreGivenUp (a gateway process; seven kinds of endless bytes; status, time, closed connection, memory) failed for three kinds before: interim answers, another's answer, not run. Noise, heads, trailers and the answer's own body, which breaks off at the timeout, held.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -38,6 +38,9 @@
 constexpr Duration kStartRetry = std::chrono::milliseconds(500);
 // A host that stops sends the caller to another one.
 constexpr Duration kOtherHostRetry = std::chrono::milliseconds(50);
+// Bytes of other requests' answers and of interim ones that are read past in
+// one try: late answers are few, and more is no answer to wait behind.
+constexpr size_t kMostSkipped = 1 << 20;
 constexpr HttpReadLimits kAnswerLimits{64 << 10, 1ULL << 30};
 
 bool IsBodiless(int status) {
@@ -365,14 +368,26 @@
     if (!TakeAnswerHead())
       return;
     t.body += t.reader->TakeBody();
-    if (t.skips)
+    if (t.skips) {
       t.body.clear();
+      t.skipped += n;
+      if (t.skipped > kMostSkipped) {
+        EndTry(TryOutcome::kBadAnswer);
+        return;
+      }
+    }
     if (t.reader->state() == HttpReadState::kComplete) {
       if (TakeAnswerEnd())
         return;
       continue;
     }
-    if (answer_begun_ || t.body.size() > kHoldBytes)
+    const bool is_long_body = t.body.size() > kHoldBytes;
+    if (is_long_body && t.answer.proves_not_run) {
+      // Its head says all that counts.
+      EndTry(TryOutcome::kNotRun);
+      return;
+    }
+    if (answer_begun_ || is_long_body)
       ForwardAnswer(false);
     return;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,6 +90,7 @@
     bool body_ended = false;  // The request was handed over in whole.
     bool has_answer = false;  // `answer` is this request's.
     bool skips = false;       // The answer being read is another request's.
+    size_t skipped = 0;       // Bytes of such answers.
     Time started;
     Time sent_at;
   };
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -172,6 +172,53 @@
   }
 }
 
+// Bytes that are no answer and never end: the caller gets a true end of its
+// own, the connection is closed, and memory stays bounded.
+TEST_F(GatewayTest, AnswersWithoutEndAreGivenUp) {
+  StartOne(2);
+  struct Case {
+    const char* name;
+    StandinAct act;
+    int status;  // 0: the answer breaks off.
+    milliseconds time;
+  };
+  // The route's timeout is 2 s; what is no answer is given up before.
+  constexpr milliseconds kSoon{1000};
+  constexpr milliseconds kTimeout{2500};
+  const std::vector<Case> cases = {
+      {"noise", StandinAct::kEndlessNoise, 502, kSoon},
+      {"head", StandinAct::kEndlessHead, 502, kSoon},
+      {"interim answers", StandinAct::kEndlessInterim, 502, kSoon},
+      {"another's answer", StandinAct::kEndlessForeign, 502, kSoon},
+      {"not run", StandinAct::kEndlessShed, 503, kSoon},
+      {"trailers", StandinAct::kEndlessTrailer, 502, kSoon},
+      {"body", StandinAct::kEndlessBody, 0, kTimeout},
+  };
+  constexpr size_t kMostGrowth = 16 << 20;
+  const size_t before = world_.MemoryOf(1);
+  int n = 0;
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    SetAct(it.act);
+    const auto caller = Connect();
+    caller->Send(RequestText("GET", "/read/1", "e" + std::to_string(++n)));
+    EXPECT_TRUE(world_.RunUntil(it.time, [&] {
+      return !caller->answers().empty() || caller->is_closed();
+    }));
+    EXPECT_EQ(caller->answers().empty() ? 0 : caller->answers()[0].head.status,
+              it.status);
+    EXPECT_TRUE(world_.RunUntil(milliseconds(500), [&] {
+      return !endpoints_[0]->is_sending_endlessly() &&
+             !endpoints_[1]->is_sending_endlessly();
+    }));
+    EXPECT_LT(world_.MemoryOf(1), before + kMostGrowth);
+    SetAct(StandinAct::kAnswer);
+    // Ejected endpoints come back.
+    world_.RunUntil(milliseconds(1200), [] { return false; });
+  }
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "e99")), 200);
+}
+
 TEST_F(GatewayTest, BadRequestsReachNoEndpoint) {
   StartOne();
   struct Case {
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -236,6 +236,7 @@
     if (connection->work)
       ++cancelled_;
     connection->work.reset();
+    connection->endless.reset();
   };
   connection->stream->Start(std::move(handlers));
 }
@@ -280,6 +281,27 @@
   });
 }
 
+bool PlatformStandinEndpoint::is_sending_endlessly() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& it) { return it->endless != nullptr; });
+}
+
+void PlatformStandinEndpoint::SendEndlessly(
+    const std::shared_ptr<Connection>& connection,
+    const std::string& begin,
+    const std::string& more) {
+  constexpr size_t kBlock = 16 << 10;
+  std::string block;
+  while (block.size() < kBlock)
+    block += more;
+  connection->stream->Write(begin);
+  connection->endless =
+      loop_.Every(std::chrono::milliseconds(1), [connection, block] {
+        if (connection->stream->pending() == 0)
+          connection->stream->Write(block);
+      });
+}
+
 void PlatformStandinEndpoint::Finish(
     const std::shared_ptr<Connection>& connection,
     const std::string& id) {
@@ -314,6 +336,37 @@
       stream.Write(FormatAnswerHead(200, fields) + body);
       stream.CloseGracefully();
       return;
+    case StandinAct::kEndlessNoise:
+      SendEndlessly(connection, "", "noise\r\n");
+      return;
+    case StandinAct::kEndlessHead:
+      SendEndlessly(connection, "HTTP/1.1 200 OK\r\n", "X: y\r\n");
+      return;
+    case StandinAct::kEndlessInterim:
+      SendEndlessly(connection, "", "HTTP/1.1 102 Processing\r\n\r\n");
+      return;
+    case StandinAct::kEndlessForeign:
+      SendEndlessly(connection,
+                    "HTTP/1.1 200 OK\r\nRequest-Id: another\r\n"
+                    "Server-Seal: seal\r\n\r\n",
+                    body);
+      return;
+    case StandinAct::kEndlessShed:
+      SendEndlessly(connection,
+                    "HTTP/1.1 503 Full\r\nRequest-Id: " + id +
+                        "\r\nNot-Executed: 1\r\n\r\n",
+                    body);
+      return;
+    case StandinAct::kEndlessTrailer:
+      fields.back() = {"Transfer-Encoding", "chunked"};
+      SendEndlessly(connection,
+                    FormatAnswerHead(200, fields) + FormatChunk(body) + "0\r\n",
+                    "X: y\r\n");
+      return;
+    case StandinAct::kEndlessBody:
+      fields.pop_back();
+      SendEndlessly(connection, FormatAnswerHead(200, fields), body);
+      return;
     case StandinAct::kFail:
       stream.Write(FormatAnswerHead(500, fields) + body);
       return;
@@ -493,6 +546,14 @@
   return CallersOf(index);
 }
 
+size_t PlatformWorld::MemoryOf(int index) const {
+  std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) + "/statm");
+  size_t total = 0;
+  size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 std::string PlatformWorld::LogOf(int index) const {
   return folder_ + "/" + std::to_string(index) + ".log";
 }
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -95,6 +95,14 @@
   kUnframed,     // Answers without a length and ends the connection.
   kFail,         // Its own, signed 500.
   kMisdirected,  // Says that another endpoint was meant.
+  // Sends this without end, until its connection is closed.
+  kEndlessNoise,    // No HTTP at all.
+  kEndlessHead,     // Fields.
+  kEndlessInterim,  // Interim answers.
+  kEndlessForeign,  // Another request's answer.
+  kEndlessShed,     // An answer that says it did not run the request.
+  kEndlessTrailer,  // Trailers behind a whole body.
+  kEndlessBody,     // The answer's own body.
 };
 
 // One of the platform's endpoints.
@@ -110,6 +118,8 @@
   // Requests that it ran, in order.
   const std::vector<Run>& runs() const { return runs_; }
   int arrivals() const { return arrivals_; }
+  // Whether an answer without end is being sent.
+  bool is_sending_endlessly() const;
   // Runs whose connection ended before their answer.
   int cancelled() const { return cancelled_; }
   void set_act(StandinAct act) { act_ = act; }
@@ -124,6 +134,7 @@
     std::string input;
     std::string body;
     std::unique_ptr<Watch> work;
+    std::unique_ptr<Watch> endless;
   };
   void Accept();
   void OnData(const std::shared_ptr<Connection>& connection,
@@ -131,6 +142,9 @@
   void Handle(const std::shared_ptr<Connection>& connection);
   void Finish(const std::shared_ptr<Connection>& connection,
               const std::string& id);
+  void SendEndlessly(const std::shared_ptr<Connection>& connection,
+                     const std::string& begin,
+                     const std::string& more);
 
   Loop& loop_;
   std::string id_;
@@ -223,6 +237,8 @@
   Address CallersOf(int index) const;
   Address OperatorsOf(int index) const;
   std::string LogOf(int index) const;
+  // Memory of the gateway's process, in bytes.
+  size_t MemoryOf(int index) const;
 
  private:
   std::string SettingsText(int index) const;
