Let the soak play a divided service; dump the reserves

The soak's service had one kind of targets, so the reserve of endpoints was never in force there. The state dump shows each service's share and this host's demand.

--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -24,6 +24,13 @@
       {"is_ejected", now < it.ejected_until}};
 }
 
+Json DumpReserve(const ServiceId& service, const ServiceDemand& it, Time now) {
+  return Json{{"service", service},
+              {"share", it.reserved_share},
+              {"own_urgent_slots", DemandedSlots(it.urgent, now)},
+              {"own_long_slots", DemandedSlots(it.long_work, now)}};
+}
+
 Json DumpMember(const Member& it, Time now) {
   return Json{{"id", it.notice.id},
               {"ip", it.notice.ip},
@@ -47,6 +54,9 @@
   json["endpoints"] = Json::array();
   for (const auto& [id, endpoint] : state.endpoints.by_id)
     json["endpoints"].push_back(DumpEndpoint(*endpoint, now));
+  json["reserves"] = Json::array();
+  for (const auto& [service, demand] : state.demands)
+    json["reserves"].push_back(DumpReserve(service, demand, now));
   json["evacuated"] = Json::array();
   for (const ZoneId& it : state.endpoints.evacuated)
     json["evacuated"].push_back(it);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -186,7 +186,8 @@
   if (!hosts_[host].takes_callers)
     return;
   const uint64_t kind = Pick(100);
-  callers_->Send(host, kind < 60   ? "/read/"
+  callers_->Send(host, kind < 45   ? "/read/"
+                       : kind < 60 ? "/archive/"
                        : kind < 90 ? "/charge/"
                                    : "/upload/");
 }
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -495,13 +495,14 @@
 
 void PlatformWorld::PutConfig(int version, const std::string& extra_prefix) {
   Json paths = Json::array();
-  const auto add = [&](const std::string& prefix, const std::string& kind) {
+  const auto add = [&](const std::string& prefix, const std::string& kind,
+                       double target = 0.3, int priority = 0) {
     paths.push_back({{"name", "r" + prefix},
                      {"path-prefix", prefix},
                      {"route-type", kind},
                      {"timeout-s", 2},
-                     {"target-latency-s", 0.3},
-                     {"priority", 0},
+                     {"target-latency-s", target},
+                     {"priority", priority},
                      {"service", "rondas"},
                      {"max-attempts", 2},
                      {"sticky-session", true},
@@ -510,6 +511,8 @@
   add("/read/", "idempotent");
   add("/charge/", "non_idempotent");
   add("/upload/", "upload");
+  // Long work of a lower rank: the service is divided.
+  add("/archive/", "idempotent", 3.0, 2);
   if (!extra_prefix.empty())
     add(extra_prefix, "idempotent");
   store_->Put("config", "main",
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -203,8 +203,8 @@
   PlatformStandinEndpoint& AddEndpoint(const std::string& service);
   // Writes the endpoint's record into the store.
   void Register(PlatformStandinEndpoint& endpoint, const std::string& service);
-  // Routes /read/ (may repeat), /charge/ (at most once) and /upload/ go to
-  // "rondas"; `version` counts up.
+  // Routes /read/ and, of low rank, /archive/ (both may repeat), /charge/ (at
+  // most once) and /upload/ go to "rondas"; `version` counts up.
   void PutConfig(int version, const std::string& extra_prefix = "");
   // Starts gateway number `index`; returns its callers' address.
   Address StartGateway(int index);
