Free the reserve of a service that is no longer divided

Seen in review, not by callers: after a configuration that takes the long routes of a service away, its reserve stayed as it was, and all its requests went first to the endpoints that had been set apart.

Cause: reserves were refreshed only for services that are divided now. The refresh is a decision of its own now, over all services with demand.

Evidence: ServiceThatIsNoLongerDividedHasNoReserve fails when services that are not divided are passed over.

--- a/src/routing/urgent_reserve.cc
+++ b/src/routing/urgent_reserve.cc
@@ -108,6 +108,40 @@
   return true;
 }
 
+std::vector<ReserveChange> UpdateReserves(ServiceDemands& demands,
+                                          const SteeringConfig& config,
+                                          const EndpointSet& set,
+                                          const HostMembers& members,
+                                          Time now) {
+  std::vector<ReserveChange> changes;
+  for (auto& [service, demand] : demands) {
+    ReserveChange change{service, demand.reserved_share, 0, {}, 0};
+    if (config.long_ranks.count(service) > 0) {
+      change.fleet = EstimateFleetDemand(demand, service, members, now);
+      change.slots = SlotsInUse(set, service);
+    }
+    // Without slots, nothing is set apart.
+    const bool has_changed = UpdateReserve(demand, change.fleet, change.slots);
+    change.share = demand.reserved_share;
+    if (has_changed)
+      changes.push_back(change);
+  }
+  return changes;
+}
+
+std::vector<DemandNotice> OwnDemands(const ServiceDemands& demands,
+                                     const SteeringConfig& config,
+                                     Time now) {
+  std::vector<DemandNotice> notices;
+  for (const auto& [service, demand] : demands) {
+    if (config.long_ranks.count(service) == 0)
+      continue;
+    notices.push_back({ShortHash(service), DemandedSlots(demand.urgent, now),
+                       DemandedSlots(demand.long_work, now)});
+  }
+  return notices;
+}
+
 EndpointSplit SplitEndpoints(const EndpointSet& set,
                              const std::vector<EndpointPtr>& endpoints,
                              double share,
--- a/src/routing/urgent_reserve.h
+++ b/src/routing/urgent_reserve.h
@@ -4,9 +4,9 @@
 // lower rank, which ask for more than the service has. Endpoints serve first
 // come, first served, and a host knows too little of their queues to order the
 // requests itself. So long requests leave some endpoints of each region alone,
-// in proportion to the urgent demand. All hosts name the same endpoints in the
-// same order; hosts that judge the demand differently only differ in where the
-// reserve ends.
+// in proportion to the urgent demand, which the hosts tell each other by
+// gossip. All hosts name the same endpoints in the same order; hosts that judge
+// the demand differently only differ in where the reserve ends.
 #ifndef ROUTING_URGENT_RESERVE_H_
 #define ROUTING_URGENT_RESERVE_H_
 
@@ -71,6 +71,27 @@
                    const FleetDemand& fleet,
                    double slots);
 
+// A reserve that has changed, and what it went by.
+struct ReserveChange {
+  ServiceId service;
+  double before = 0;
+  double share = 0;
+  FleetDemand fleet;
+  double slots = 0;
+};
+
+// Updates the reserves of all services. One that is no longer divided has none.
+std::vector<ReserveChange> UpdateReserves(ServiceDemands& demands,
+                                          const SteeringConfig& config,
+                                          const EndpointSet& set,
+                                          const HostMembers& members,
+                                          Time now);
+
+// This host's demand on the services that are divided, for other hosts.
+std::vector<DemandNotice> OwnDemands(const ServiceDemands& demands,
+                                     const SteeringConfig& config,
+                                     Time now);
+
 // The endpoints of one service, split by who comes first on them. A region's
 // only endpoint is in both lists.
 struct EndpointSplit {
--- a/tests/routing/urgent_reserve_test.cc
+++ b/tests/routing/urgent_reserve_test.cc
@@ -175,6 +175,29 @@
   EXPECT_NEAR(fleet.long_slots, 2 * 3.0 * 4 / 3, 1e-6);
 }
 
+// Seen in review: the share stayed as it was, and all requests went on to the
+// endpoints that had been set apart.
+TEST(UrgentReserveTest, ServiceThatIsNoLongerDividedHasNoReserve) {
+  const EndpointSet set = MakeSet({6});
+  const RequestRoute urgent = MakeRoute(0, milliseconds(500));
+  const RequestRoute long_route = MakeRoute(2, seconds(3));
+  SteeringConfig config;
+  config.hosts["h"] = {urgent, long_route};
+  FindLongRanks(config);
+  ServiceDemands demands;
+  OnDemand(demands[kService], urgent, false, milliseconds(500), kStart);
+  OnDemand(demands[kService], long_route, true, seconds(3), kStart);
+  UpdateReserves(demands, config, set, {}, kStart);
+  EXPECT_GT(demands[kService].reserved_share, 0);
+  EXPECT_EQ(OwnDemands(demands, config, kStart).size(), 1U);
+  config.hosts["h"] = {urgent};
+  FindLongRanks(config);
+  const auto changes = UpdateReserves(demands, config, set, {}, kStart);
+  EXPECT_EQ(changes.size(), 1U);
+  EXPECT_EQ(demands[kService].reserved_share, 0);
+  EXPECT_TRUE(OwnDemands(demands, config, kStart).empty());
+}
+
 TEST(UrgentReserveTest, EachRegionSetsItsShareApart) {
   const EndpointSet set = MakeSet({6, 4, 2, 1});
   const auto& endpoints = set.by_service.at(kService);
