Make tests of the reserve fail when their guards are broken

With the guards broken one by one, three passed all the same: that a region keeps an endpoint for either work, that long requests try the reserve when all others were tried, and that a larger reserve contains a smaller one (its two shares happened to agree). The first two get tests of their own, the third compares nine shares; each was then seen to fail with its guard broken. The others failed as they stood.

--- a/tests/routing/urgent_reserve_test.cc
+++ b/tests/routing/urgent_reserve_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -214,14 +215,54 @@
   EXPECT_EQ(split.urgent.size() + split.long_work.size(), endpoints.size() + 1);
 }
 
+TEST(UrgentReserveTest, EachRegionKeepsAnEndpointForEitherWork) {
+  const EndpointSet set = MakeSet({6, 4, 2});
+  const auto& endpoints = set.by_service.at(kService);
+  for (const double share : {0.01, 0.99}) {
+    SCOPED_TRACE(share);
+    const EndpointSplit split = SplitEndpoints(set, endpoints, share, kStart);
+    for (const char* name : {"a", "b", "c"}) {
+      const auto is_there = [&](const EndpointPtr& it) {
+        return it->record.region == RegionId(name);
+      };
+      EXPECT_TRUE(
+          std::any_of(split.urgent.begin(), split.urgent.end(), is_there));
+      EXPECT_TRUE(std::any_of(split.long_work.begin(), split.long_work.end(),
+                              is_there));
+    }
+  }
+}
+
+TEST(UrgentReserveTest, LongRequestTriesTheReserveAfterAllOthers) {
+  const EndpointSet set = MakeSet({4});
+  const RequestRoute route = MakeRoute(2, seconds(3));
+  const EndpointSplit split =
+      SplitEndpoints(set, set.by_service.at(kService), 0.25, kStart);
+  PlacementRequest request;
+  request.service = &kService;
+  request.route = &route;
+  request.affinity_key = "1";
+  request.is_long = true;
+  request.reserved_share = 0.25;
+  for (const EndpointPtr& it : split.long_work)
+    request.tried.push_back(it.get());
+  EXPECT_EQ(PlaceRequest(set, {}, request, kStart).endpoint,
+            split.urgent.front());
+}
+
 TEST(UrgentReserveTest, LargerSharesContainSmallerOnes) {
   const EndpointSet set = MakeSet({20});
   const auto& endpoints = set.by_service.at(kService);
-  const auto small = Ids(SplitEndpoints(set, endpoints, 0.2, kStart).urgent);
-  const auto large = Ids(SplitEndpoints(set, endpoints, 0.4, kStart).urgent);
-  EXPECT_EQ(small.size(), 4U);
-  for (const EndpointId& it : small)
-    EXPECT_EQ(large.count(it), 1U);
+  std::set<EndpointId> smaller;
+  for (int tenths = 1; tenths <= 9; ++tenths) {
+    SCOPED_TRACE(tenths);
+    const auto larger =
+        Ids(SplitEndpoints(set, endpoints, tenths / 10.0, kStart).urgent);
+    EXPECT_EQ(larger.size(), static_cast<size_t>(2 * tenths));
+    for (const EndpointId& it : smaller)
+      EXPECT_EQ(larger.count(it), 1U);
+    smaller = larger;
+  }
 }
 
 TEST(UrgentReserveTest, EvacuatedAndColdEndpointsAreNotSetApart) {
