Divide endpoints without copying them when there is no reserve

Found on reading the change again: each request copied its service's list of endpoints, also where nothing is divided, and a struct of two lists stood between the caller and two arguments.

--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -34,9 +34,9 @@
 
 struct Candidate {
   const EndpointPtr* endpoint = nullptr;
-  bool is_reserved = false;  // For requests like this one.
-  uint64_t rank = 0;         // Within its region.
-  double region_rank = 0;    // Of its region.
+  bool is_preferred = false;
+  uint64_t rank = 0;       // Within its region.
+  double region_rank = 0;  // Of its region.
 };
 
 bool IsAllowed(const RequestRoute& route, const EndpointView& endpoint) {
@@ -107,8 +107,8 @@
         part == parts.end() ? kLeastPart : std::max(part->second, kLeastPart));
   }
   std::sort(all.begin(), all.end(), [](const Candidate& a, const Candidate& b) {
-    return std::tie(a.region_rank, a.is_reserved, a.rank) >
-           std::tie(b.region_rank, b.is_reserved, b.rank);
+    return std::tie(a.region_rank, a.is_preferred, a.rank) >
+           std::tie(b.region_rank, b.is_preferred, b.rank);
   });
   Candidates out;
   for (size_t i = 0; i < all.size() && out.size() < kCandidates; ++i) {
@@ -123,27 +123,12 @@
   return out;
 }
 
-// Which of a service's endpoints a request may go to, the first ones first.
-struct Pools {
-  std::vector<EndpointPtr> first;
-  std::vector<EndpointPtr> others;
-};
-
-Pools FindPools(const EndpointSet& set,
-                const std::vector<EndpointPtr>& endpoints,
-                const PlacementRequest& request,
-                Time now) {
-  if (request.reserved_share <= 0)
-    return {endpoints, {}};
-  EndpointSplit split =
-      SplitEndpoints(set, endpoints, request.reserved_share, now);
-  if (request.is_long)
-    return {std::move(split.long_work), {}};
-  return {std::move(split.urgent), std::move(split.long_work)};
-}
+using Endpoints = std::vector<EndpointPtr>;
 
+// Candidates among `preferred`, and behind these in each region `others`.
 Candidates FindCandidates(const EndpointSet& set,
-                          const Pools& pools,
+                          const Endpoints& preferred,
+                          const Endpoints& others,
                           const PlacementContext& context,
                           const PlacementRequest& request,
                           bool with_ejected,
@@ -152,18 +137,17 @@
                            ? request.random
                            : HashText(request.affinity_key);
   Candidates all;
-  const auto add = [&](const std::vector<EndpointPtr>& endpoints,
-                       bool is_reserved) {
+  const auto add = [&](const Endpoints& endpoints, bool is_preferred) {
     for (const EndpointPtr& it : endpoints) {
       if (IsAvailable(set, *it, context, request, with_ejected, now))
-        all.push_back({&it, is_reserved, HashPair(key, it->hash), 0});
+        all.push_back({&it, is_preferred, HashPair(key, it->hash), 0});
     }
   };
-  add(pools.first, true);
-  add(pools.others, false);
+  add(preferred, true);
+  add(others, false);
   const double home_bias = request.is_heavy ? 1.0 : kHomeBias;
   return TakeFirst(std::move(all),
-                   RegionParts(set, pools.first, context, home_bias), key);
+                   RegionParts(set, preferred, context, home_bias), key);
 }
 
 size_t CountEjected(const std::vector<EndpointPtr>& endpoints, Time now) {
@@ -259,16 +243,25 @@
   const double ejected = static_cast<double>(CountEjected(endpoints, now));
   const bool with_ejected =
       ejected > kMostEjected * static_cast<double>(endpoints.size());
-  Pools pools = FindPools(set, endpoints, request, now);
-  Candidates candidates =
-      FindCandidates(set, pools, context, request, with_ejected, now);
-  if (candidates.empty() && request.reserved_share > 0) {
-    pools = {endpoints, {}};
-    candidates =
-        FindCandidates(set, pools, context, request, with_ejected, now);
-  }
+  const Endpoints none;
+  EndpointSplit split;
+  const bool is_split = request.reserved_share > 0;
+  if (is_split)
+    split = SplitEndpoints(set, endpoints, request.reserved_share, now);
+  const Endpoints& preferred = !is_split         ? endpoints
+                               : request.is_long ? split.long_work
+                                                 : split.urgent;
+  const Endpoints& others =
+      is_split && !request.is_long ? split.long_work : none;
+  Candidates candidates = FindCandidates(set, preferred, others, context,
+                                         request, with_ejected, now);
+  // The reserve serves long requests when nothing else is left.
+  if (candidates.empty() && is_split)
+    candidates = FindCandidates(set, endpoints, none, context, request,
+                                with_ejected, now);
   if (candidates.empty())
-    candidates = FindCandidates(set, pools, context, request, true, now);
+    candidates =
+        FindCandidates(set, endpoints, none, context, request, true, now);
   if (candidates.empty())
     return {};
   Placement placement = request.affinity_key.empty() || !request.route->sticky
