Take no demand from a host that was never heard after a boot

In the first ten seconds of the steady clock, a host that has said nothing counted as one without demand, so that the reserve was too small (found on reading; the clock counts from the machine's start).

Evidence: HostThatWasNeverHeardCountsAsUnknownAfterABoot failed before (half of the demand) and passes now.

--- a/src/routing/urgent_reserve.cc
+++ b/src/routing/urgent_reserve.cc
@@ -74,7 +74,8 @@
     if (!IsAlive(member, now))
       continue;
     ++alive;
-    if (now - member.demands_heard >= kDemandLifetime)
+    if (member.demands_heard == Time() ||
+        now - member.demands_heard >= kDemandLifetime)
       continue;
     ++heard;
     for (const DemandNotice& it : member.demands) {
--- a/tests/routing/urgent_reserve_test.cc
+++ b/tests/routing/urgent_reserve_test.cc
@@ -176,6 +176,18 @@
   EXPECT_NEAR(fleet.long_slots, 2 * 3.0 * 4 / 3, 1e-6);
 }
 
+TEST(UrgentReserveTest, HostThatWasNeverHeardCountsAsUnknownAfterABoot) {
+  // The steady clock counts from the machine's start.
+  const Time now{seconds(2)};
+  ServiceDemand own;
+  OnDemand(own, MakeRoute(0, seconds(1)), false, seconds(1), now);
+  HostMembers members;
+  members.others[HostId("h1")].heard = now;
+  const double own_slots = DemandedSlots(own.urgent, now);
+  EXPECT_NEAR(EstimateFleetDemand(own, kService, members, now).urgent_slots,
+              2 * own_slots, 1e-6);
+}
+
 // Seen in review: the share stayed as it was, and all requests went on to the
 // endpoints that had been set apart.
 TEST(UrgentReserveTest, ServiceThatIsNoLongerDividedHasNoReserve) {
