Count silent hosts in bounds over all hosts; pace cold endpoints after a start

A host that is cut off counts too few as well. Evidence: HostsThatDoNotHearTheOthersKeepColdEndpointsPaced fails with either part taken out.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -599,7 +599,7 @@
       IsRetryUseful(end) &&
       (sends_ == 0 ||
        TakeRetry(state_.retries[service_], state_.settings.retry_bound,
-                 state_.AliveHosts(), state_.loop.Now()));
+                 state_.SharingHosts(), state_.loop.Now()));
   const NextStep step = DecideNext(end, may_retry);
   if (step != NextStep::kDeliver || outcome != TryOutcome::kAnswered)
     LogTry(ended, outcome, step);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -173,7 +173,7 @@
     };
     add("gateway_open_requests", state_.open_exchanges);
     add("gateway_kept_connections", state_.pool.size());
-    add("gateway_hosts_alive", state_.AliveHosts());
+    add("gateway_hosts_alive", CountAlive(state_.members, loop_.Now()));
     add("gateway_config_version", state_.members.self.config_version);
     add("gateway_log_lines_dropped_total", DroppedLogLines());
     return text;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -49,7 +49,8 @@
   // Requests that callers wait for.
   size_t open_exchanges = 0;
 
-  size_t AliveHosts() const { return placement.host_hashes.size(); }
+  // Hosts that share a bound on the sum over all hosts.
+  size_t SharingHosts() const { return placement.host_hashes.size(); }
 };
 
 }  // namespace sassafras
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -141,6 +141,7 @@
   }
   readable_ = state_.loop.OnSocket(socket_.fd(), Ready::kRead,
                                    [this](bool, bool) { OnReadable(); });
+  state_.members.started = state_.loop.Now();
   tick_ = state_.loop.Every(kGossipPeriod, [this] { OnTick(); });
   OnTick();
   return {};
@@ -188,8 +189,9 @@
 void Gossip::UpdateAlive() {
   const Time now = state_.loop.Now();
   state_.placement.own_hash = HashText(state_.members.self.id.value());
-  state_.placement.host_hashes = AliveHashes(state_.members, now);
-  const size_t alive = state_.placement.host_hashes.size();
+  state_.placement.host_hashes = SharingHashes(state_.members);
+  state_.placement.knows_hosts = KnowsHosts(state_.members, now);
+  const size_t alive = CountAlive(state_.members, now);
   if (alive == alive_)
     return;
   LogLine(LogLevel::kInfo, "members", "Hosts alive changed.")
--- a/src/gateway/reserves.cc
+++ b/src/gateway/reserves.cc
@@ -19,7 +19,7 @@
         .With("urgent_slots", it.fleet.urgent_slots)
         .With("long_slots", it.fleet.long_slots)
         .With("slots", it.slots)
-        .With("hosts", state.AliveHosts());
+        .With("hosts", CountAlive(state.members, now));
   }
 }
 
--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -218,13 +218,15 @@
                  [&](const auto& it) { return IsAlive(it.second, now); }));
 }
 
-std::vector<uint64_t> AliveHashes(const HostMembers& members, Time now) {
+std::vector<uint64_t> SharingHashes(const HostMembers& members) {
   std::vector<uint64_t> out = {HashText(members.self.id.value())};
-  for (const auto& [id, member] : members.others) {
-    if (IsAlive(member, now))
-      out.push_back(HashText(id.value()));
-  }
+  for (const auto& [id, member] : members.others)
+    out.push_back(HashText(id.value()));
   return out;
 }
 
+bool KnowsHosts(const HostMembers& members, Time now) {
+  return now - members.started >= kHostSilence;
+}
+
 }  // namespace sassafras
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -79,6 +79,7 @@
 
 struct HostMembers {
   HostNotice self;
+  Time started;
   std::vector<DemandNotice> own_demands;
   std::unordered_map<HostId, Member> others;
   std::mt19937_64 random;
@@ -155,8 +156,14 @@
 // Hosts that are alive, this one among them.
 size_t CountAlive(const HostMembers& members, Time now);
 
-// Hashes of the ids of all hosts that are alive, this one among them.
-std::vector<uint64_t> AliveHashes(const HostMembers& members, Time now);
+// Hashes of the ids of the hosts that share a bound on the sum over all hosts,
+// this one among them: also those that are silent, which may be alive and only
+// out of reach.
+std::vector<uint64_t> SharingHashes(const HostMembers& members);
+
+// Whether this host has run for long enough to have heard of all others. Before
+// that, it would take their part of what is shared for its own.
+bool KnowsHosts(const HostMembers& members, Time now);
 
 }  // namespace sassafras
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -65,7 +65,8 @@
 bool MaySendCold(const PlacementContext& context,
                  const EndpointView& endpoint,
                  Time now) {
-  return now >= endpoint.next_cold_send && IsWarmupSender(context, endpoint);
+  return context.knows_hosts && now >= endpoint.next_cold_send &&
+         IsWarmupSender(context, endpoint);
 }
 
 using Candidates = std::vector<Candidate>;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -24,10 +24,12 @@
 // What a host knows of itself and of the other hosts.
 struct PlacementContext {
   uint64_t own_hash = 0;  // Of this host's id.
-  // Hashes of the hosts that are alive, this one among them. The pacing of
-  // cold endpoints is a bound on the sum over all hosts, so only some hosts
-  // send to one of them.
+  // See SharingHashes(). The pacing of cold endpoints is a bound on the sum
+  // over all hosts, so only some hosts send to one of them.
   std::vector<uint64_t> host_hashes;
+  // See KnowsHosts(). A host that does not know the others sends nothing to
+  // cold endpoints.
+  bool knows_hosts = true;
   RegionId own_region;  // Empty: regions are not told apart.
   // Share of the callers that each region has, as far as the deployment's
   // layout tells.
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -8,6 +8,7 @@
 
 #include "base/hash.h"
 #include "routing/body_sizes.h"
+#include "routing/host_members.h"
 
 namespace sassafras {
 namespace {
@@ -279,5 +280,63 @@
   EXPECT_GE(most, 6U);
 }
 
+// Many hosts start again at once while an endpoint is cold, and hear of each
+// other only within a second; others were cut off and hear nobody.
+TEST(PlacementTest, HostsThatDoNotHearTheOthersKeepColdEndpointsPaced) {
+  constexpr size_t kHosts = 60;
+  constexpr double kPerSecond = 4.4;
+  // From the pages: factor 1.5 and slack 8.
+  constexpr double kBound = kPerSecond * 1.5 + 8;
+  const SteeringConfig config = ConfigWithWarmup(kPerSecond);
+  struct Case {
+    const char* name;
+    bool restarted;  // Else cut off since kStart.
+  };
+  for (const Case& it : {Case{"restarted", true}, Case{"cut off", false}}) {
+    SCOPED_TRACE(it.name);
+    std::vector<HostMembers> members(kHosts);
+    for (size_t i = 0; i < kHosts; ++i) {
+      members[i].self.id = HostId("host" + std::to_string(i));
+      members[i].started = it.restarted ? kStart : kStart - seconds(60);
+      for (size_t other = 0; other < kHosts && !it.restarted; ++other) {
+        if (other != i)
+          members[i].others[HostId("host" + std::to_string(other))].heard =
+              kStart;
+      }
+    }
+    std::vector<EndpointSet> sets(kHosts);
+    for (EndpointSet& set : sets)
+      set = MakeSet(1, seconds(8));
+    const RequestRoute route = StickyRoute();
+    std::deque<Time> sent;
+    for (Time now = kStart; now < kStart + seconds(7);
+         now += milliseconds(20)) {
+      for (size_t i = 0; i < kHosts; ++i) {
+        // What was restarted has heard of all after a second.
+        for (size_t other = 0;
+             other < kHosts && it.restarted && now == kStart + seconds(1);
+             ++other) {
+          if (other != i)
+            members[i].others[HostId("host" + std::to_string(other))].heard =
+                now + seconds(60);
+        }
+        PlacementContext context;
+        context.own_hash = HashText(members[i].self.id.value());
+        context.host_hashes = SharingHashes(members[i]);
+        context.knows_hosts = KnowsHosts(members[i], now);
+        const auto placed =
+            PlaceRequest(sets[i], context, Ask(route, "k"), now);
+        if (!placed.endpoint)
+          continue;
+        OnPlaced(config, *placed.endpoint, now);
+        sent.push_back(now);
+      }
+      while (!sent.empty() && sent.front() + seconds(1) <= now)
+        sent.pop_front();
+      ASSERT_LE(static_cast<double>(sent.size()), kBound);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
