Test that a refusal is true after a try that may have run (red)

Ruled out: a try whose outcome is told by the endpoint (DecideNext looks at may_have_run), the deadline (OnDeadline does), a stop (refused before the first try), answers of the connection itself (431, 413, 400, 408 before the request). Same class: an endpoint's own 503 without proof is handed on.

--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -150,6 +150,7 @@
       {"half an answer", StandinAct::kHalfAnswer, 502, 2, 502, 1},
       {"unsigned", StandinAct::kUnsigned, 502, 2, 502, 1},
       {"own failure", StandinAct::kFail, 500, 2, 500, 1},
+      {"503 without proof", StandinAct::kUnproven, 502, 2, 502, 1},
       {"another's answer first", StandinAct::kForeign, 200, 1, 200, 1},
       {"no length", StandinAct::kUnframed, 200, 1, 200, 1},
   };
@@ -172,6 +173,25 @@
   }
 }
 
+// The first try may have run, and there is no endpoint for a second one: the
+// caller is not told that the request has not run.
+TEST_F(GatewayTest, NoPlaceForAnotherTryIsNoProofOfNotRunning) {
+  StartOne(1);
+  int n = 0;
+  for (const StandinAct act : {StandinAct::kBreak, StandinAct::kHalfAnswer,
+                               StandinAct::kUnsigned, StandinAct::kUnproven}) {
+    SCOPED_TRACE(static_cast<int>(act));
+    SetAct(act);
+    const size_t before = CountRuns();
+    EXPECT_EQ(Status(RequestText("GET", "/read/1", "n" + std::to_string(++n))),
+              502);
+    EXPECT_EQ(CountRuns() - before, 1U);
+    SetAct(StandinAct::kAnswer);
+    // The ejected endpoint comes back.
+    world_.RunUntil(milliseconds(1200), [] { return false; });
+  }
+}
+
 // Bytes that are no answer and never end: the caller gets a true end of its
 // own, the connection is closed, and memory stays bounded.
 TEST_F(GatewayTest, AnswersWithoutEndAreGivenUp) {
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -370,6 +370,9 @@
     case StandinAct::kFail:
       stream.Write(FormatAnswerHead(500, fields) + body);
       return;
+    case StandinAct::kUnproven:
+      stream.Write(FormatAnswerHead(503, fields) + body);
+      return;
     default:
       break;
   }
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -95,6 +95,7 @@
   kUnframed,     // Answers without a length and ends the connection.
   kFail,         // Its own, signed 500.
   kMisdirected,  // Says that another endpoint was meant.
+  kUnproven,     // Runs it and answers 503 without proof that it did not.
   // Sends this without end, until its connection is closed.
   kEndlessNoise,    // No HTTP at all.
   kEndlessHead,     // Fields.
