Never promise that a request has not run after a try that may have

Cause: TryNext() refuses with 503 whenever there is no place for a try, also for the second one; the promise was checked only where a try ends. Why it works: Refuse(), through which every refusal goes, takes its status from may_have_run, so no path can promise what is untrue.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -655,7 +655,7 @@
 
 void GatewayExchange::Refuse(const char* cause,
                              std::optional<Duration> retry_after) {
-  AnswerOwn(kHttpUnavailable, cause, retry_after);
+  AnswerOwn(RefusalStatus(may_have_run_), cause, retry_after);
 }
 
 void GatewayExchange::AnswerOwn(int status,
--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/http_status.h"
+
 namespace sassafras {
 
 namespace {
@@ -57,6 +59,10 @@
   return !end.may_have_run || MayRepeat(end.kind);
 }
 
+int RefusalStatus(bool may_have_run) {
+  return may_have_run ? kHttpBadGateway : kHttpUnavailable;
+}
+
 NextStep DecideNext(const TryState& end, bool may_retry) {
   if (end.outcome == TryOutcome::kAnswered)
     return NextStep::kDeliver;
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -98,6 +98,10 @@
 // allowance.
 bool IsRetryUseful(const TryState& end);
 
+// Status of an answer by which a host turns a request away. Some statuses
+// promise that the request has not run, which a try may have made untrue.
+int RefusalStatus(bool may_have_run);
+
 // The next step; `may_retry` says that the allowance has room.
 NextStep DecideNext(const TryState& end, bool may_retry);
 
