Hand on no status that promises "not run" without proof

Callers would have seen: an endpoint's own 503, 429 or 408 without the field that proves it, for a request that had run; the promise of these statuses is the host's to keep, whoever made the answer. Cause: an answer's status was not compared with what the answer proves. Why it works: such an answer counts as a bad one: work that may be repeated goes elsewhere, other work ends with 502. Endpoints of the platform send the field with these statuses, so true answers are not touched.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -16,8 +16,6 @@
 // Bytes that wait in memory when no more requests are read ahead.
 constexpr size_t kMostInput = 64 << 10;
 
-constexpr int kHttpHeadTooLarge = 431;
-constexpr int kHttpRequestTimeout = 408;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 RequestLimits LimitsOf(const GatewayState& state) {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -422,7 +422,12 @@
   }
   const bool is_proper = t.answer.is_signed && !t.answer.request_id.empty() &&
                          !t.answer.is_encoded;
-  if (!t.answer.proves_not_run && IsSuccess(t.answer.status) && !is_proper) {
+  // Handed on, it would promise the caller what nobody has proved.
+  const bool is_unproven =
+      t.answer.promises_not_run && !t.answer.proves_not_run;
+  const bool is_improper =
+      !t.answer.proves_not_run && IsSuccess(t.answer.status) && !is_proper;
+  if (is_unproven || is_improper) {
     EndTry(TryOutcome::kBadAnswer);
     return false;
   }
--- a/src/gateway/wire_types.h
+++ b/src/gateway/wire_types.h
@@ -31,6 +31,8 @@
   bool is_signed = false;  // Bears the endpoint's signature over the answer.
   // The endpoint states that it did not run the request.
   bool proves_not_run = false;
+  // Its status tells callers that the request has not run.
+  bool promises_not_run = false;
   bool is_encoded = false;  // The body is not as the endpoint made it.
   struct Load {
     int running = 0;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -229,13 +229,16 @@
     HttpFields fields;
     bool not_run;
     bool is_signed;
+    bool promises;
   };
   const std::vector<Case> cases = {
-      {"answer", 200, {{"Server-Seal", "x"}}, false, true},
-      {"shed", 503, {{"Not-Executed", "1"}}, true, false},
-      {"own 503", 503, {{"Server-Seal", "x"}}, false, true},
-      {"another endpoint", 421, {{"Instance-Id", "i-2"}}, true, false},
-      {"own 500", 500, {}, false, false},
+      {"answer", 200, {{"Server-Seal", "x"}}, false, true, false},
+      {"shed", 503, {{"Not-Executed", "1"}}, true, false, true},
+      {"own 503", 503, {{"Server-Seal", "x"}}, false, true, true},
+      {"own 429", 429, {{"Server-Seal", "x"}}, false, true, true},
+      {"own 408", 408, {{"Server-Seal", "x"}}, false, true, true},
+      {"another endpoint", 421, {{"Instance-Id", "i-2"}}, true, false, true},
+      {"own 500", 500, {}, false, false, false},
   };
   for (const Case& it : cases) {
     SCOPED_TRACE(it.name);
@@ -244,6 +247,7 @@
     head.fields = it.fields;
     const WireAnswer answer = DecodeAnswer(head);
     EXPECT_EQ(answer.proves_not_run, it.not_run);
+    EXPECT_EQ(answer.promises_not_run, it.promises);
     EXPECT_EQ(answer.is_signed, it.is_signed);
   }
 }
