Take no shared slack of retries before a host knows who shares it

Cause: the slack is divided by the hosts that one knows, so a host that knows nobody takes all of it, and one that is started again takes its part once more. Change: no part of the slack until a host has run for a window of the bound; the part by request stays. Evidence: RestartedHostsKeepTheBoundOnRetries fails without the guard (720 retries of 660) and with only the 3 s that cold endpoints wait; passes now.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -588,6 +588,7 @@
     timer_.reset();
     return;
   }
+  const Time now = state_.loop.Now();
   TryState end;
   end.outcome = outcome;
   end.kind = route_->kind;
@@ -600,11 +601,12 @@
   end.was_full = IsFull(outcome, ended.answer);
   end.time_left = TimeLeft();
   // Nothing has arrived anywhere yet: the next send is still the first.
+  const RetryBound& bound = state_.settings.retry_bound;
   const bool may_retry =
       IsRetryUseful(end) &&
       (sends_ == 0 ||
-       TakeRetry(state_.retries[service_], state_.settings.retry_bound,
-                 state_.SharingHosts(), state_.loop.Now()));
+       TakeRetry(state_.retries[service_], bound,
+                 CountSharing(state_.members, bound.window, now), now));
   const NextStep step = DecideNext(end, may_retry);
   if (step != NextStep::kDeliver || outcome != TryOutcome::kAnswered)
     LogTry(ended, outcome, step);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -48,9 +48,6 @@
   Time exit_at;  // When a stopping process ends, whatever is open.
   // Requests that callers wait for.
   size_t open_exchanges = 0;
-
-  // Hosts that share a bound on the sum over all hosts.
-  size_t SharingHosts() const { return placement.host_hashes.size(); }
 };
 
 }  // namespace sassafras
--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -28,13 +28,16 @@
 
 bool TakeRetry(RetryAllowance& allowance,
                const RetryBound& bound,
-               size_t hosts,
+               std::optional<size_t> hosts,
                Time now) {
   DropOld(allowance.requests, bound.window, now);
   DropOld(allowance.retries, bound.window, now);
+  const double slack =
+      hosts ? bound.slack / static_cast<double>(std::max<size_t>(*hosts, 1))
+            : 0;
   const double share =
       bound.per_request * static_cast<double>(allowance.requests.size()) +
-      bound.slack / static_cast<double>(std::max<size_t>(hosts, 1));
+      slack;
   if (static_cast<double>(allowance.retries.size()) + 1 > kUsedPart * share)
     return false;
   allowance.retries.push_back(now);
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -6,6 +6,7 @@
 #define ROUTING_ATTEMPT_H_
 
 #include <deque>
+#include <optional>
 
 #include "base/names_table.h"
 #include "base/time.h"
@@ -69,10 +70,11 @@
 void OnRequest(RetryAllowance& allowance, const RetryBound& bound, Time now);
 
 // Takes one retry out of the allowance of a host among `hosts` that are alike
-// in load; false if there is none.
+// in load; false if there is none. A host that does not know how many share the
+// slack takes nothing of it.
 bool TakeRetry(RetryAllowance& allowance,
                const RetryBound& bound,
-               size_t hosts,
+               std::optional<size_t> hosts,
                Time now);
 
 // The request's state after a try.
--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -229,4 +229,12 @@
   return now - members.started >= kHostSilence;
 }
 
+std::optional<size_t> CountSharing(const HostMembers& members,
+                                   Duration window,
+                                   Time now) {
+  if (!KnowsHosts(members, now) || now - members.started < window)
+    return std::nullopt;
+  return members.others.size() + 1;
+}
+
 }  // namespace sassafras
--- a/tests/routing/attempt_test.cc
+++ b/tests/routing/attempt_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "routing/host_members.h"
+
 namespace sassafras {
 namespace {
 
@@ -131,6 +133,57 @@
   EXPECT_GT(retries.size(), 100U);
 }
 
+// Hosts that are started together do not know each other yet, and some have
+// taken their part of the window in their life before; every try fails.
+TEST(AttemptTest, RestartedHostsKeepTheBoundOnRetries) {
+  constexpr size_t kHosts = 60;
+  constexpr Duration kTimeUntilHeard = seconds(1);
+  const RetryBound bound{0.02, 600, seconds(10)};
+  struct Restart {
+    const char* name;
+    Duration at;
+  };
+  for (const Restart& restart :
+       {Restart{"first start", seconds(0)}, Restart{"soon", seconds(8)},
+        Restart{"later", seconds(12)}}) {
+    SCOPED_TRACE(restart.name);
+    std::vector<HostMembers> members(kHosts);
+    std::vector<RetryAllowance> hosts(kHosts);
+    std::deque<Time> requests;
+    std::deque<Time> retries;
+    Time started = kStart;
+    for (Time now = kStart; now < kStart + seconds(26);
+         now += milliseconds(200)) {
+      if (now == kStart + restart.at) {
+        started = now;
+        members.assign(kHosts, HostMembers());
+        hosts.assign(kHosts, RetryAllowance());
+      }
+      for (size_t i = 0; i < kHosts; ++i) {
+        members[i].started = started;
+        for (size_t other = 0;
+             other < kHosts && now == started + kTimeUntilHeard; ++other) {
+          if (other != i)
+            members[i].others[HostId("host" + std::to_string(other))];
+        }
+        OnRequest(hosts[i], bound, now);
+        requests.push_back(now);
+        if (TakeRetry(hosts[i], bound,
+                      CountSharing(members[i], bound.window, now), now))
+          retries.push_back(now);
+      }
+      while (!retries.empty() && retries.front() + bound.window <= now)
+        retries.pop_front();
+      while (requests.front() + bound.window <= now)
+        requests.pop_front();
+      ASSERT_LE(static_cast<double>(retries.size()),
+                bound.per_request * static_cast<double>(requests.size()) +
+                    bound.slack);
+    }
+    EXPECT_GT(retries.size(), 100U);
+  }
+}
+
 TEST(AttemptTest, LongWorkThatFoundNoRoomIsRefused) {
   TryState end;
   end.outcome = TryOutcome::kNotRun;
