--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -67,6 +67,8 @@
     : state_(state),
       sink_(std::move(sink)),
       request_(platform::DecodeRequest(head)),
+      request_hash_(
+          HashOfRequest(request_.method, request_.host, request_.target)),
       caller_keeps_alive_(head.keep_alive),
       has_body_(head.chunked || head.content_length.value_or(0) > 0),
       caller_chunked_(head.chunked),
@@ -546,10 +548,36 @@
       OnFailure(endpoint, now);
       break;
   }
+  NoteCrash(ended, outcome);
   state_.metrics.Count("gateway_tries_total",
                        "outcome=\"" + std::string(NameOf(outcome)) + "\"");
 }
 
+// Only work that may be sent again is of interest: other work is tried once.
+void GatewayExchange::NoteCrash(const Try& ended, TryOutcome outcome) {
+  if (!may_repeat())
+    return;
+  if (outcome == TryOutcome::kAnswered || outcome == TryOutcome::kFailed) {
+    OnAnswered(state_.crashes, request_hash_);
+    return;
+  }
+  if (outcome != TryOutcome::kBroken)
+    return;
+  const EndpointView& endpoint = *ended.endpoint;
+  const uint64_t start =
+      HashPair(endpoint.hash, static_cast<uint64_t>(endpoint.record.born_ms));
+  const bool is_new =
+      OnCrash(state_.crashes, {request_hash_, static_cast<uint32_t>(start)},
+              state_.loop.Now());
+  if (!is_new || !IsSuspect(state_.crashes, request_hash_))
+    return;
+  state_.metrics.Count("gateway_suspect_requests_total", "");
+  LogLine(LogLevel::kWarning, "request", "Endpoints break under a request.")
+      .With("id", request_.id)
+      .With("path", request_.path)
+      .With("endpoints", CountCrashes(state_.crashes, request_hash_));
+}
+
 // Keeps the connection if it can carry another request, else closes it.
 void GatewayExchange::ReleaseStream(TryOutcome outcome) {
   Try& t = *try_;
@@ -598,6 +626,7 @@
   end.sends = sends_;
   end.max_attempts = route_->max_attempts;
   end.is_long = is_long_;
+  end.is_suspect = IsSuspect(state_.crashes, request_hash_);
   end.was_full = IsFull(outcome, ended.answer);
   end.time_left = TimeLeft();
   // Nothing has arrived anywhere yet: the next send is still the first.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -121,6 +121,7 @@
   void StartTimer(Duration delay);
   HttpFields AnswerFields(const WireAnswer& answer);
   void NoteOutcome(const Try& ended, TryOutcome outcome);
+  void NoteCrash(const Try& ended, TryOutcome outcome);
   void LogTry(const Try& ended, TryOutcome outcome, NextStep step) const;
   Duration TimeLeft() const;
   uint64_t HashOfId() const;
@@ -128,6 +129,7 @@
   GatewayState& state_;
   std::weak_ptr<ExchangeSink> sink_;
   CallerRequest request_;
+  uint64_t request_hash_;  // See HashOfRequest().
   bool caller_keeps_alive_ = true;
   bool has_body_ = false;
   bool caller_chunked_ = false;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "routing/admission.h"
 #include "routing/attempt.h"
 #include "routing/body_sizes.h"
+#include "routing/crash_book.h"
 #include "routing/endpoint_set.h"
 #include "routing/host_members.h"
 #include "routing/placement.h"
@@ -38,6 +39,7 @@
   PlacementContext placement;
   AdmissionState admission;
   BodySizes body_sizes;
+  CrashBook crashes;
   ServiceDemands demands;
   std::unordered_map<ServiceId, RetryAllowance> retries;
   EndpointPool pool;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -90,10 +90,16 @@
     demands.push_back(ToThousandths(it.urgent_slots));
     demands.push_back(ToThousandths(it.long_slots));
   }
+  Json crashes = Json::array();
+  for (const CrashNotice& it : message.crashes) {
+    crashes.push_back(it.request);
+    crashes.push_back(it.endpoint);
+  }
   std::string out;
-  Json::to_cbor(Json::array({kProtocolVersion, std::move(notices),
-                             std::move(beats), std::move(demands)}),
-                out);
+  Json::to_cbor(
+      Json::array({kProtocolVersion, std::move(notices), std::move(beats),
+                   std::move(demands), std::move(crashes)}),
+      out);
   return out;
 }
 
@@ -121,6 +127,12 @@
                              FromThousandths(demands[i + 1].get<uint32_t>()),
                              FromThousandths(demands[i + 2].get<uint32_t>())});
     }
+    // Nor do they tell of crashes.
+    const Json crashes = json.size() > 4 ? json[4] : Json::array();
+    for (size_t i = 0; i + 1 < crashes.size(); i += 2) {
+      out.crashes.push_back(
+          {crashes[i].get<uint64_t>(), crashes[i + 1].get<uint32_t>()});
+    }
     return out;
   } catch (const std::exception& e) {
     return fail(e.what());
@@ -164,6 +176,8 @@
         });
     const Time now = state_.loop.Now();
     const GossipNews news = OnGossip(state_.members, message, now);
+    for (const CrashNotice& it : message.crashes)
+      OnCrash(state_.crashes, it, now);
     for (const HostId& it : news.back)
       LogLine(LogLevel::kInfo, "members", "Host is heard.").With("host", it);
     if (!news.back.empty())
@@ -176,9 +190,11 @@
 void Gossip::OnTick() {
   UpdateAlive();
   RefreshReserves(state_);
-  const GossipRound round =
-      NextRound(state_.members, state_.settings.seed_ips,
-                state_.settings.regions, state_.loop.Now());
+  const Time now = state_.loop.Now();
+  GossipRound round = NextRound(state_.members, state_.settings.seed_ips,
+                                state_.settings.regions, now);
+  ForgetCrashes(state_.crashes, now);
+  round.message.crashes = RecentCrashes(state_.crashes, now);
   Send(round.message, round.to_ips);
   if (!round.whole_to_ip.empty())
     Send(round.whole, {round.whole_to_ip});
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -57,6 +57,7 @@
   json["reserves"] = Json::array();
   for (const auto& [service, demand] : state.demands)
     json["reserves"].push_back(DumpReserve(service, demand, now));
+  json["crash_records"] = state.crashes.by_request.size();
   json["evacuated"] = Json::array();
   for (const ZoneId& it : state.endpoints.evacuated)
     json["evacuated"].push_back(it);
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -1,7 +1,8 @@
 // What follows after one try of a request at an endpoint has ended.
 //
 // Answers to: endpoints that shed, break off, crash or fail parts of their
-// work, and retries that would multiply a flood.
+// work, retries that would multiply a flood, and requests that crash whatever
+// runs them.
 #ifndef ROUTING_ATTEMPT_H_
 #define ROUTING_ATTEMPT_H_
 
@@ -91,6 +92,8 @@
   int max_attempts = 1;
   // Long work of a lower rank; see urgent_reserve.h.
   bool is_long = false;
+  // Endpoints break under it; see crash_book.h.
+  bool is_suspect = false;
   // The endpoint did not run it for lack of room.
   bool was_full = false;
   Duration time_left{};
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -469,6 +469,39 @@
   EXPECT_EQ(endpoints_[0]->runs().size(), 1U);
 }
 
+// A read that breaks each endpoint which runs it is tried twice until the hosts
+// know it, and once from then on, whichever host it comes to. Other requests
+// keep their second try.
+TEST_F(GatewayTest, ReadThatBreaksEndpointsIsNotTriedAgainByAnyHost) {
+  world_.PutConfig(1);
+  for (int i = 0; i < 5; ++i)
+    endpoints_.push_back(&world_.AddEndpoint("rondas"));
+  for (int i = 1; i <= 2; ++i)
+    address_ = world_.StartGateway(i);
+  for (int i = 1; i <= 2; ++i)
+    ASSERT_TRUE(world_.WaitReady(i)) << i;
+  WaitUntilHostsAreKnown();
+  SetAct(StandinAct::kBreak);
+  address_ = world_.CallersOf(1);
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "c1")), 502);
+  EXPECT_EQ(CountRuns(), 2U);
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "c2")), 502);
+  // Within the platform's stable window, all hosts know.
+  world_.RunUntil(seconds(4), [] { return false; });
+  for (int i = 1; i <= 2; ++i) {
+    SCOPED_TRACE(i);
+    address_ = world_.CallersOf(i);
+    const size_t before = CountRuns();
+    EXPECT_EQ(Status(RequestText("GET", "/read/1", "c3" + std::to_string(i))),
+              502);
+    EXPECT_EQ(CountRuns() - before, 1U);
+    world_.RunUntil(milliseconds(1200), [] { return false; });
+  }
+  const size_t before = CountRuns();
+  EXPECT_EQ(Status(RequestText("GET", "/read/2", "c4")), 502);
+  EXPECT_EQ(CountRuns() - before, 2U);
+}
+
 // Hosts that follow relays: one that is killed, frozen or restarted delays no
 // other, and a host that starts while the store is away learns from its peers.
 TEST_F(GatewayTest, HostsFollowRelaysThroughLosses) {
