Try a read once only after three endpoints have broken under it

Cause: nobody counted crashes over all hosts. A request that any endpoint has answered is no suspect, so that a popular object loses its second try only if three endpoints broke under it and none answered. Weighed and left: refusing suspects at once (docs/design/placing.md).

--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -52,7 +52,7 @@
     return false;
   if (end.outcome == TryOutcome::kNotSent)
     return !end.may_have_run || MayRepeat(end.kind);
-  if (end.sends >= end.max_attempts)
+  if (end.sends >= end.max_attempts || end.is_suspect)
     return false;
   // Another endpoint would take several times as long for an object that it
   // does not know, and forget another object for it: in a flood, that costs
