--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <fstream>
 #include <set>
+#include <sstream>
 
 #include "platform/platform.h"
 #include "routing/host_members.h"
@@ -502,6 +504,77 @@
   EXPECT_EQ(CountRuns() - before, 2U);
 }
 
+// Settings are read again after SIGHUP; a faulty file changes nothing, and its
+// fault is told by line and field.
+TEST_F(GatewayTest, SettingsAreReadAgainAfterASignal) {
+  StartOne();
+  const auto lookup = [&] {
+    PlatformStandinCaller caller(world_.loop(), world_.DirectoryOf(1));
+    caller.Send("GET " + std::string(platform::kDirectoryPath) +
+                " HTTP/1.1\r\nHost: h\r\n\r\n");
+    world_.RunUntil(kAnswerTime, [&] { return !caller.answers().empty(); });
+    return caller.answers().empty() ? "" : caller.answers()[0].body;
+  };
+  const auto log = [&] {
+    std::ostringstream os;
+    os << std::ifstream(world_.LogOf(1)).rdbuf();
+    return os.str();
+  };
+  // The product's own limit is below the platform's.
+  EXPECT_NE(lookup().find(":1.5}"), std::string::npos) << lookup();
+  world_.set_directory_ttl_s(1);
+  world_.WriteSettings(1, "limits.memory-mb=none\n");
+  world_.Signal(1, SIGHUP);
+  EXPECT_TRUE(world_.RunUntil(seconds(1), [&] {
+    return log().find("limits.memory-mb") != std::string::npos;
+  })) << log();
+  EXPECT_NE(lookup().find(":1.5}"), std::string::npos) << lookup();
+  world_.WriteSettings(1, "");
+  world_.Signal(1, SIGHUP);
+  EXPECT_TRUE(world_.Eventually(seconds(1), [&] {
+    return lookup().find(":1.0}") != std::string::npos;
+  })) << lookup();
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "s1")), 200);
+}
+
+// All hosts lose power at once, the store is away when they are back, and a
+// configuration came meanwhile.
+TEST_F(GatewayTest, HostsRecoverFromALossOfAllPower) {
+  constexpr int kHosts = 4;
+  constexpr seconds kRecovery{15};  // From the platform's pages.
+  world_.PutConfig(1);
+  endpoints_.push_back(&world_.AddEndpoint("rondas"));
+  for (int i = 1; i <= kHosts; ++i)
+    world_.StartGateway(i);
+  for (int i = 1; i <= kHosts; ++i)
+    ASSERT_TRUE(world_.WaitReady(i)) << i;
+  for (int i = 1; i <= kHosts; ++i)
+    world_.Signal(i, SIGKILL);
+  for (int i = 1; i <= kHosts; ++i)
+    ASSERT_TRUE(world_.WaitEnd(i, seconds(2))) << i;
+  world_.PutConfig(2, "/v2/");
+  world_.store().set_down(true);
+  for (int i = 1; i <= kHosts; ++i)
+    world_.StartGateway(i);
+  const Time back = world_.loop().Now();
+  world_.RunUntil(seconds(1), [] { return false; });
+  for (int i = 1; i <= kHosts; ++i) {
+    address_ = world_.CallersOf(i);
+    EXPECT_EQ(Status(RequestText("GET", "/v2/1", "p" + std::to_string(i))),
+              503);
+  }
+  world_.store().set_down(false);
+  for (int i = 1; i <= kHosts; ++i) {
+    SCOPED_TRACE(i);
+    address_ = world_.CallersOf(i);
+    EXPECT_TRUE(world_.Eventually(kRecovery, [&] {
+      return Status(RequestText("GET", "/v2/1", "q" + std::to_string(i))) ==
+             200;
+    }));
+  }
+  EXPECT_LE(world_.loop().Now() - back, kRecovery);
+}
+
 // Hosts that follow relays: one that is killed, frozen or restarted delays no
 // other, and a host that starts while the store is away learns from its peers.
 TEST_F(GatewayTest, HostsFollowRelaysThroughLosses) {
--- /dev/null
+++ b/tests/platform/names_test.cc
@@ -0,0 +1,69 @@
+// The platform's names stay in platform/.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace sassafras {
+namespace {
+
+namespace fs = std::filesystem;
+
+// Names of HTTP itself, which anyone may use.
+const std::set<std::string> kHttpNames = {"100-continue", "Content-Encoding",
+                                          "Keep-Alive", "Retry-After"};
+
+std::string ReadFile(const fs::path& path) {
+  std::ostringstream os;
+  os << std::ifstream(path).rdbuf();
+  return os.str();
+}
+
+// String literals of the sources under `folder`, and a file that has each.
+std::map<std::string, fs::path> LiteralsUnder(const std::string& folder) {
+  static const std::regex kLiteral("\"([^\"\\\\\n]*)\"");
+  std::map<std::string, fs::path> out;
+  const fs::path root = fs::path(SASSAFRASDECK_SOURCE_DIR) / folder;
+  for (const auto& entry : fs::recursive_directory_iterator(root)) {
+    const std::string extension = entry.path().extension();
+    if (extension != ".cc" && extension != ".h")
+      continue;
+    const std::string text = ReadFile(entry.path());
+    for (auto it = std::sregex_iterator(text.begin(), text.end(), kLiteral);
+         it != std::sregex_iterator(); ++it)
+      out[(*it)[1]] = entry.path();
+  }
+  return out;
+}
+
+// Words of one part, such as "name", are anyone's; names of several parts are
+// the platform's own.
+bool IsPlatformName(const std::string& text) {
+  static const std::regex kName("[A-Za-z0-9]+([-.][A-Za-z0-9]+)+");
+  return std::regex_match(text, kName) && kHttpNames.count(text) == 0;
+}
+
+TEST(PlatformNamesTest, NothingOutsideTheFolderKnowsThem) {
+  const auto outside = LiteralsUnder("src");
+  ASSERT_FALSE(outside.empty());
+  size_t names = 0;
+  for (const auto& [name, path] : LiteralsUnder("platform")) {
+    if (!IsPlatformName(name))
+      continue;
+    ++names;
+    const auto it = outside.find(name);
+    EXPECT_EQ(it, outside.end()) << name << " of " << path << " is in "
+                                 << (it == outside.end() ? "" : it->second);
+  }
+  EXPECT_GE(names, 20U);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -446,6 +446,10 @@
   return HostAddress(index, kCallersPort);
 }
 
+Address PlatformWorld::DirectoryOf(int index) const {
+  return HostAddress(index, kDirectoryPort);
+}
+
 Address PlatformWorld::OperatorsOf(int index) const {
   return HostAddress(index, kOperatorsPort);
 }
@@ -465,11 +469,12 @@
   const auto store = store_addresses_.find(index);
   os << "listen.front=" << CallersOf(index).ToString()
      << "\nlisten.ready=" << HostAddress(index, kReadinessPort).ToString()
-     << "\nlisten.directory=" << HostAddress(index, kDirectoryPort).ToString()
+     << "\nlisten.directory=" << DirectoryOf(index).ToString()
      << "\nlisten.control=" << OperatorsOf(index).ToString()
      << "\ninternal-ports=7660,7675\nseeds=" << first
      << "\nbounds=grace-s=3,retry-budget-ratio=0.2,retry-budget-slack=100,"
-        "budget-window-s=10,ttl_max_s=5\nplatform.address="
+        "budget-window-s=10,ttl_max_s="
+     << directory_ttl_s_ << "\nplatform.address="
      << (store == store_addresses_.end() ? StoreAddress() : store->second)
             .ToString()
      << "\n";
@@ -529,9 +534,17 @@
                {"hosts", {{{"host", "h.example"}, {"paths", paths}}}}});
 }
 
+std::string PlatformWorld::SettingsOf(int index) const {
+  return folder_ + "/" + std::to_string(index) + ".conf";
+}
+
+void PlatformWorld::WriteSettings(int index, const std::string& more) {
+  std::ofstream(SettingsOf(index)) << SettingsText(index) << more;
+}
+
 Address PlatformWorld::StartGateway(int index) {
-  const std::string settings = folder_ + "/" + std::to_string(index) + ".conf";
-  std::ofstream(settings) << SettingsText(index);
+  const std::string settings = SettingsOf(index);
+  WriteSettings(index, "");
   const std::string log = LogOf(index);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -209,6 +209,10 @@
   void PutConfig(int version, const std::string& extra_prefix = "");
   // Starts gateway number `index`; returns its callers' address.
   Address StartGateway(int index);
+  // Writes the settings file of gateway `index` anew, with `more` behind it.
+  void WriteSettings(int index, const std::string& more);
+  // Time that look-ups may be kept, in settings written from now on.
+  void set_directory_ttl_s(int ttl) { directory_ttl_s_ = ttl; }
   bool WaitReady(int index);
   void Signal(int index, int signal);
   bool WaitEnd(int index, std::chrono::milliseconds time);
@@ -237,14 +241,17 @@
   Address StoreAddress() const;
   Address CallersOf(int index) const;
   Address OperatorsOf(int index) const;
+  Address DirectoryOf(int index) const;
   std::string LogOf(int index) const;
   // Memory of the gateway's process, in bytes.
   size_t MemoryOf(int index) const;
 
  private:
   std::string SettingsText(int index) const;
+  std::string SettingsOf(int index) const;
 
   int network_;
+  int directory_ttl_s_ = 5;
   Loop loop_;
   std::string folder_;
   std::unique_ptr<PlatformStandinStore> store_;
