--- a/src/base/http_status.h
+++ b/src/base/http_status.h
@@ -22,6 +22,10 @@
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpTimeout = 504;
 
+constexpr bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
 }  // namespace sassafras
 
 #endif  // BASE_HTTP_STATUS_H_
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -102,6 +102,8 @@
   void SendRequest();
   void SendBody();
   void OnEndpointDrained();
+  // Expects the head of an answer next.
+  void StartReading();
   void OnAnswerData(std::string_view data);
   void ReadAnswers();
   bool TakeAnswerHead();
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <fstream>
 #include <functional>
 #include <set>
 
@@ -88,6 +89,7 @@
   int PickHost() { return 1 + static_cast<int>(Pick(options_.hosts)); }
   void Note(const std::string& what);
   void Violate(const std::string& what) { report_.violations.push_back(what); }
+  void ViolateRequest(const SoakRequest& request, const std::string& what);
   void Later(milliseconds delay, std::function<void()> fn);
   void Wait(milliseconds time) {
     world_.RunUntil(time, [] { return false; });
@@ -138,6 +140,22 @@
   report_.faults.push_back(std::to_string(ms) + " ms " + what);
 }
 
+// Adds what the hosts logged of the request, so that a failure that shows once
+// can be traced.
+void SoakRun::ViolateRequest(const SoakRequest& request,
+                             const std::string& what) {
+  Violate(request.id + " (" + request.path + ") to host " +
+          std::to_string(request.host) + " " + what);
+  for (int host = 1; host <= options_.hosts; ++host) {
+    std::ifstream log(world_.LogOf(host));
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("id=" + request.id + " ") != std::string::npos)
+        report_.log_lines.push_back("host " + std::to_string(host) + ": " +
+                                    line);
+    }
+  }
+}
+
 void SoakRun::Later(milliseconds delay, std::function<void()> fn) {
   timers_.push_back(loop().After(delay, std::move(fn)));
 }
@@ -468,8 +486,8 @@
     const bool is_watched =
         it->sent >= from && it->sent < from + milliseconds(1400);
     if (is_watched && !it->has_left && it->status != kHttpOk)
-      Violate(id + " (" + it->path + ") to host " + std::to_string(it->host) +
-              " is answered " + std::to_string(it->status) + " in calm");
+      ViolateRequest(*it,
+                     "is answered " + std::to_string(it->status) + " in calm");
   }
 }
 
@@ -498,22 +516,22 @@
     report_.cut += it->is_cut;
     const int n = runs.count(id) > 0 ? runs[id] : 0;
     if (!it->may_repeat && n > 1)
-      Violate(id + " ran " + std::to_string(n) + " times");
+      ViolateRequest(*it, "ran " + std::to_string(n) + " times");
     if (is_refused && n > 0)
-      Violate(id + " was said not to have run, but did");
+      ViolateRequest(*it, "was said not to have run, but did");
     if (it->status == kHttpNotFound)
-      Violate(id + " was denied on a route that always was");
+      ViolateRequest(*it, "was denied on a route that always was");
     if (!IsPlannedOnly() || it->has_left)
       continue;
     // One behind another's answer that closes was not read, as the pages say.
     const bool is_late = !it->is_behind && it->done - it->sent > kLossSlack;
     if (it->is_cut && (n > 0 || is_late))
-      Violate(id + " to host " + std::to_string(it->host) + " was lost after " +
-              std::to_string(Millis(it->done - it->sent)) +
-              " ms in planned work; runs: " + std::to_string(n));
+      ViolateRequest(
+          *it, "was lost after " + std::to_string(Millis(it->done - it->sent)) +
+                   " ms in planned work; runs: " + std::to_string(n));
     if (it->status == kHttpBadGateway || it->status == kHttpTimeout)
-      Violate(id + " failed with " + std::to_string(it->status) +
-              " in planned work");
+      ViolateRequest(*it, "failed with " + std::to_string(it->status) +
+                              " in planned work");
   }
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,7 @@
 struct SoakReport {
   std::vector<std::string> faults;      // What was broken when.
   std::vector<std::string> violations;  // What must not be.
+  std::vector<std::string> log_lines;   // Of the requests concerned.
   size_t requests = 0;
   size_t served = 0;
   size_t refused = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -27,6 +27,8 @@
      << report.cut << " cut\n";
   for (const std::string& it : report.violations)
     os << "  " << it << "\n";
+  for (const std::string& it : report.log_lines)
+    os << "    " << it << "\n";
   if (options.is_verbose || !report.violations.empty()) {
     for (const std::string& it : report.faults)
       os << "    " << it << "\n";
@@ -50,7 +52,7 @@
     const pid_t pid = ::wait(&status);
     if (WIFSIGNALED(status)) {
       std::cout << "A seed's process ended by signal " << WTERMSIG(status)
-                << "\n";
+                << std::endl;  // Not to be in the buffer of the next fork.
     }
     broken += !WIFEXITED(status) || WEXITSTATUS(status) != 0;
     networks.push_back(running[pid]);
@@ -81,6 +83,9 @@
   SoakOptions options;
   app.add_option("--seeds", seeds, "One seed, or FIRST-LAST");
   app.add_option("--jobs", jobs, "Seeds at a time")->check(CLI::Range(1, 20));
+  app.add_option("--network", options.network,
+                 "Second part of the loopback addresses of a single seed")
+      ->check(CLI::Range(60, 119));
   app.add_option("--hosts", options.hosts, "Hosts")->check(CLI::Range(2, 90));
   app.add_option("--endpoints", options.endpoints, "Endpoints")
       ->check(CLI::Range(3, 40));
