Let the soak's proxies end while their connections do; rank crash notices once

Cause, from the code: a connection that ends in the last turn of the loop posts its removal from the proxy, and the stand-ins run the loop once more after the proxies are gone. Change: the posted removal owns the list. A watch of the store's stand-in that has ended is dropped by identity, not by its place in memory, which another one may have by then.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -493,6 +493,7 @@
       .With("next", NameOf(step))
       .With("sends", sends_)
       .With("reused", ended.reused)
+      .With("crashes", CountCrashes(state_.crashes, request_hash_))
       .With("try_ms", Millis(now - ended.started))
       .With("left_ms", Millis(TimeLeft()));
 }
--- a/src/routing/crash_book.cc
+++ b/src/routing/crash_book.cc
@@ -41,22 +41,26 @@
 }
 
 std::vector<CrashNotice> RecentCrashes(const CrashBook& book, Time now) {
-  std::vector<CrashNotice> notices;
+  struct Ranked {
+    size_t crashes;
+    CrashNotice notice;
+  };
+  std::vector<Ranked> all;
   for (const auto& [request, record] : book.by_request) {
     if (record.is_answered || now - record.heard >= kCrashNewsTime)
       continue;
     for (const auto& [endpoint, heard] : record.endpoints) {
       if (now - heard < kCrashNewsTime)
-        notices.push_back({request, endpoint});
+        all.push_back({record.endpoints.size(), {request, endpoint}});
     }
   }
-  std::stable_sort(notices.begin(), notices.end(),
-                   [&](const CrashNotice& a, const CrashNotice& b) {
-                     return CountCrashes(book, a.request) >
-                            CountCrashes(book, b.request);
-                   });
-  if (notices.size() > kMostCrashNotices)
-    notices.resize(kMostCrashNotices);
+  const size_t n = std::min(all.size(), kMostCrashNotices);
+  std::partial_sort(
+      all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(),
+      [](const Ranked& a, const Ranked& b) { return a.crashes > b.crashes; });
+  std::vector<CrashNotice> notices;
+  for (size_t i = 0; i < n; ++i)
+    notices.push_back(all[i].notice);
   return notices;
 }
 
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -81,7 +81,7 @@
 
 struct HostMembers {
   HostNotice self;
-  Time started;
+  Time started;  // Of this process.
   std::vector<DemandNotice> own_demands;
   std::unordered_map<HostId, Member> others;
   std::mt19937_64 random;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -24,7 +24,7 @@
 }
 
 FaultProxy::~FaultProxy() {
-  for (const LinkPtr& it : links_) {
+  for (const LinkPtr& it : *links_) {
     it->is_open = false;
     it->delayed.clear();
     it->user.stream->Close();
@@ -47,7 +47,7 @@
   auto link = std::make_shared<Link>();
   link->user.stream = Stream::Adopt(loop_, std::move(socket));
   link->behind.stream = std::move(behind.value());
-  links_.push_back(link);
+  links_->push_back(link);
   const auto handlers = [this, link](Side& from, Side& to) {
     Stream::Handlers out;
     out.on_data = [this, link, &from, &to](std::string_view data) {
@@ -89,14 +89,15 @@
     return;
   link->user.stream->CloseGracefully();
   link->behind.stream->Close();
-  loop_.Post([this, link] {
+  // The proxy may be gone by then.
+  loop_.Post([links = links_, link] {
     link->delayed.clear();
-    links_.erase(std::remove(links_.begin(), links_.end(), link), links_.end());
+    links->erase(std::remove(links->begin(), links->end(), link), links->end());
   });
 }
 
 void FaultProxy::ResetAll() {
-  for (const LinkPtr& it : std::vector<LinkPtr>(links_)) {
+  for (const LinkPtr& it : Links(*links_)) {
     it->user.stream->Close();
     Close(it);
   }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -46,6 +46,7 @@
     bool is_open = true;
   };
   using LinkPtr = std::shared_ptr<Link>;
+  using Links = std::vector<LinkPtr>;
 
   void Accept();
   void Pass(const LinkPtr& link, Side& from, Side& to, std::string_view data);
@@ -56,7 +57,7 @@
   Address target_;
   Socket listener_;
   std::unique_ptr<Watch> accept_;
-  std::vector<LinkPtr> links_;
+  std::shared_ptr<Links> links_ = std::make_shared<Links>();
   ProxyMode mode_ = ProxyMode::kPass;
 };
 
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -177,11 +177,10 @@
   if (TryAnswerWatch(*waiting))
     return;
   waiting_.push_back(waiting);
-  const auto drop = [this, raw = waiting.get()] {
-    waiting_.erase(
-        std::remove_if(waiting_.begin(), waiting_.end(),
-                       [raw](const auto& it) { return it.get() == raw; }),
-        waiting_.end());
+  // It may be gone by then, and another one be in its place in memory.
+  const auto drop = [this, weak = std::weak_ptr<Waiting>(waiting)] {
+    waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), weak.lock()),
+                   waiting_.end());
   };
   session->set_on_gone([this, drop] { loop_.Post(drop); });
   const auto wait =
