--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -226,16 +226,23 @@
       {"body", StandinAct::kEndlessBody, 0, kTimeout},
   };
   constexpr size_t kMostGrowth = 16 << 20;
+  // What the smallest hosts (0.07 of a core) have within kSoon.
+  constexpr milliseconds kMostProcessor{70};
   const size_t before = world_.MemoryOf(1);
   int n = 0;
   for (const Case& it : cases) {
     SCOPED_TRACE(it.name);
     SetAct(it.act);
+    const Duration used = world_.ProcessorTimeOf(1);
     const auto caller = Connect();
     caller->Send(RequestText("GET", "/read/1", "e" + std::to_string(++n)));
     EXPECT_TRUE(world_.RunUntil(it.time, [&] {
       return !caller->answers().empty() || caller->is_closed();
     }));
+    if (it.time == kSoon) {
+      EXPECT_LE(Millis(world_.ProcessorTimeOf(1) - used),
+                kMostProcessor.count());
+    }
     EXPECT_EQ(caller->answers().empty() ? 0 : caller->answers()[0].head.status,
               it.status);
     EXPECT_TRUE(world_.RunUntil(milliseconds(500), [&] {
--- a/tests/platform/names_test.cc
+++ b/tests/platform/names_test.cc
@@ -28,7 +28,7 @@
 
 // String literals of the sources under `folder`, and a file that has each.
 std::map<std::string, fs::path> LiteralsUnder(const std::string& folder) {
-  static const std::regex kLiteral("\"([^\"\\\\\n]*)\"");
+  static const std::regex literal("\"([^\"\\\\\n]*)\"");
   std::map<std::string, fs::path> out;
   const fs::path root = fs::path(SASSAFRASDECK_SOURCE_DIR) / folder;
   for (const auto& entry : fs::recursive_directory_iterator(root)) {
@@ -36,7 +36,7 @@
     if (extension != ".cc" && extension != ".h")
       continue;
     const std::string text = ReadFile(entry.path());
-    for (auto it = std::sregex_iterator(text.begin(), text.end(), kLiteral);
+    for (auto it = std::sregex_iterator(text.begin(), text.end(), literal);
          it != std::sregex_iterator(); ++it)
       out[(*it)[1]] = entry.path();
   }
@@ -46,8 +46,8 @@
 // Words of one part, such as "name", are anyone's; names of several parts are
 // the platform's own.
 bool IsPlatformName(const std::string& text) {
-  static const std::regex kName("[A-Za-z0-9]+([-.][A-Za-z0-9]+)+");
-  return std::regex_match(text, kName) && kHttpNames.count(text) == 0;
+  static const std::regex name_form("[A-Za-z0-9]+([-.][A-Za-z0-9]+)+");
+  return std::regex_match(text, name_form) && kHttpNames.count(text) == 0;
 }
 
 TEST(PlatformNamesTest, NothingOutsideTheFolderKnowsThem) {
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -572,6 +572,23 @@
   return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+Duration PlatformWorld::ProcessorTimeOf(int index) const {
+  std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  // The fields behind the program's name, which may contain blanks.
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  constexpr int kFieldsBefore = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBefore; ++i)
+    fields >> skipped;
+  int64_t user = 0;
+  int64_t system = 0;
+  fields >> user >> system;
+  return FromSeconds(static_cast<double>(user + system) /
+                     static_cast<double>(::sysconf(_SC_CLK_TCK)));
+}
+
 std::string PlatformWorld::LogOf(int index) const {
   return folder_ + "/" + std::to_string(index) + ".log";
 }
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -245,6 +245,8 @@
   std::string LogOf(int index) const;
   // Memory of the gateway's process, in bytes.
   size_t MemoryOf(int index) const;
+  // Processor time that the gateway's process has used.
+  Duration ProcessorTimeOf(int index) const;
 
  private:
   std::string SettingsText(int index) const;
