--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -438,8 +438,8 @@
   end.is_suspect = IsSuspect(state_.crashes, request_hash_);
   end.was_full = IsFull(outcome, ended.answer);
   end.time_left = TimeLeft();
-  // Nothing has arrived anywhere yet: the next send is still the first.
   const RetryBound& bound = state_.settings.retry_bound;
+  // Before anything has been sent, the next send is still the first.
   const bool may_retry =
       IsRetryUseful(end) &&
       (sends_ == 0 || TakeRetry(state_.retries[service_], bound,
