--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -293,6 +293,14 @@
   t.sent_at = state_.loop.Now();
   last_sent_at_ = t.sent_at;
   ++sends_;
+  if (const size_t crashes = CountCrashes(state_.crashes, request_hash_)) {
+    LogLine(LogLevel::kWarning, "request", "Sent though endpoints broke.")
+        .With("id", request_.id)
+        .With("request", request_hash_)
+        .With("endpoint", t.endpoint->record.id)
+        .With("crashes", crashes)
+        .With("send", sends_);
+  }
   t.stream->Write(FormatRequestHead(request_.method, request_.target, fields));
   SendBody();
 }
@@ -364,9 +372,23 @@
 
 // Only work that may be sent again is of interest: other work is tried once.
 void GatewayExchange::NoteCrash(const Try& ended, TryOutcome outcome) {
+  if (outcome == TryOutcome::kBroken) {
+    LogLine(LogLevel::kInfo, "request", "Endpoint broke under a request.")
+        .With("id", request_.id)
+        .With("request", request_hash_)
+        .With("endpoint", ended.endpoint->record.id)
+        .With("is_counted", may_repeat())
+        .With("crashes", CountCrashes(state_.crashes, request_hash_));
+  }
   if (!may_repeat())
     return;
   if (outcome == TryOutcome::kAnswered || outcome == TryOutcome::kFailed) {
+    if (const size_t crashes = CountCrashes(state_.crashes, request_hash_)) {
+      LogLine(LogLevel::kInfo, "request", "Answered; crashes are void.")
+          .With("id", request_.id)
+          .With("request", request_hash_)
+          .With("crashes", crashes);
+    }
     OnAnswered(state_.crashes, request_hash_);
     return;
   }
--- /dev/null
+++ b/tests/gateway/crashing_request_test.cc
@@ -0,0 +1,192 @@
+// Requests that end each endpoint which runs them, as gateway processes, their
+// callers and stand-in endpoints see them.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include "standins/platform_world.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kHosts = 4;
+constexpr int kEndpoints = 8;
+constexpr size_t kCrashesBeforeStop = 3;
+// Sends of the request that the platform allows after kSettleTime.
+constexpr size_t kMostLateSends = 3;
+// Longer than the platform's stable window of 4 s.
+constexpr milliseconds kSettleTime{5000};
+constexpr int kReturns = 12;
+constexpr milliseconds kReturnPause{300};
+constexpr milliseconds kAnswerTime{3000};
+
+constexpr char kCrashingId[] = "crash-";
+constexpr char kOtherCaller[] = "Cookie: Affinity-Key=7; session=other\r\n";
+constexpr char kSameCaller[] = "Cookie: Affinity-Key=7; session=own\r\n";
+
+struct Other {
+  const char* method;
+  const char* path;
+  const char* fields;
+  const char* body;
+  // Whether it can be told from the crashing request.
+  bool is_distinct;
+};
+
+struct Case {
+  const char* name;
+  const char* method;
+  const char* path;
+  const char* body;
+  std::vector<Other> others;
+  bool starts_a_host;
+  bool restarts_all_in_turn;
+};
+
+class CrashingRequestTest : public testing::TestWithParam<Case> {
+ protected:
+  static int NextNetwork() {
+    static int network = 190;
+    return network++;
+  }
+
+  CrashingRequestTest() : world_(NextNetwork()) {}
+
+  void Start() {
+    world_.PutConfig(1);
+    for (int i = 0; i < kEndpoints; ++i) {
+      endpoints_.push_back(&world_.AddEndpoint("rondas"));
+      endpoints_.back()->set_crash_rule(
+          [](const HttpHead& head, const std::string&) {
+            const std::string* id = FindField(head.fields, "Request-Id");
+            return id && id->rfind(kCrashingId, 0) == 0;
+          });
+    }
+    for (int i = 1; i <= kHosts; ++i)
+      world_.StartGateway(i);
+    for (int i = 1; i <= kHosts; ++i)
+      ASSERT_TRUE(world_.WaitReady(i)) << i;
+    Wait(kSettleTime);
+  }
+
+  void Wait(milliseconds time) {
+    world_.RunUntil(time, [] { return false; });
+  }
+
+  // Sends one request to a host on a connection of its own; status 0: none.
+  int Status(int host, const std::string& text) {
+    PlatformStandinCaller caller(world_.loop(), world_.CallersOf(host));
+    caller.Send(text);
+    world_.RunUntil(kAnswerTime, [&] {
+      return !caller.answers().empty() || caller.is_closed();
+    });
+    return caller.answers().empty() ? 0 : caller.answers()[0].head.status;
+  }
+
+  // The crashing request comes again, at each host in turn.
+  int Return(const Case& it) {
+    const int host = 1 + returns_ % kHosts;
+    return Status(host, RequestText(it.method, it.path,
+                                    kCrashingId + std::to_string(++returns_),
+                                    kSameCaller, it.body));
+  }
+
+  size_t CountCrashes() const {
+    size_t n = 0;
+    for (const PlatformStandinEndpoint* it : endpoints_)
+      n += static_cast<size_t>(it->crashes());
+    return n;
+  }
+
+  PlatformWorld world_;
+  std::vector<PlatformStandinEndpoint*> endpoints_;
+  int returns_ = 0;
+};
+
+const Case kCases[] = {
+    {"Read", "GET", "/read/1", "", {}, false, false},
+    {"Charge", "POST", "/charge/1", "amount=1", {}, false, false},
+    {"ChargeBesideOtherBodies",
+     "POST",
+     "/charge/1",
+     "amount=1",
+     {{"POST", "/charge/1", kSameCaller, "amount=2", true}},
+     false,
+     false},
+    {"ReadBesideOtherCallers",
+     "GET",
+     "/read/1",
+     "",
+     {{"GET", "/read/1", kOtherCaller, "", true}},
+     false,
+     false},
+    {"ReadBesideEqualReads",
+     "GET",
+     "/read/1",
+     "",
+     {{"GET", "/read/1", kSameCaller, "", false}},
+     false,
+     false},
+    {"ReadWithAHostThatStarts", "GET", "/read/1", "", {}, true, false},
+    {"ChargeWithHostsThatRestart", "POST", "/charge/1", "amount=1", {}, false,
+     true},
+};
+
+// After the third crash and the stable window, at most three sends follow over
+// all hosts, however often the request comes again.
+TEST_P(CrashingRequestTest, IsNotSentEachTimeItComesAgain) {
+  const Case& it = GetParam();
+  Start();
+  while (CountCrashes() < kCrashesBeforeStop && returns_ < kReturns)
+    Return(it);
+  ASSERT_GE(CountCrashes(), kCrashesBeforeStop);
+  if (it.starts_a_host)
+    world_.StartGateway(kHosts + 1);
+  Wait(kSettleTime);
+  const size_t before = CountCrashes();
+  std::string statuses;
+  for (int i = 0; i < kReturns; ++i) {
+    if (it.starts_a_host && i % 2 == 0) {
+      Status(kHosts + 1,
+             RequestText(it.method, it.path,
+                         kCrashingId + std::to_string(++returns_), kSameCaller,
+                         it.body));
+    }
+    if (it.restarts_all_in_turn && i % 3 == 0) {
+      const int host = 1 + i / 3 % kHosts;
+      world_.Signal(host, SIGKILL);
+      ASSERT_TRUE(world_.WaitEnd(host, seconds(2)));
+      world_.StartGateway(host);
+      ASSERT_TRUE(world_.WaitReady(host));
+    }
+    statuses += std::to_string(Return(it)) + " ";
+    int n = 0;
+    for (const Other& other : it.others) {
+      const std::string id =
+          "o" + std::to_string(i) + "-" + std::to_string(++n);
+      const int status =
+          Status(1 + i % kHosts, RequestText(other.method, other.path, id,
+                                             other.fields, other.body));
+      if (other.is_distinct)
+        EXPECT_EQ(status, 200) << id;
+    }
+    EXPECT_EQ(Status(1 + i % kHosts,
+                     RequestText("GET", "/read/2", "h" + std::to_string(i))),
+              200);
+    Wait(kReturnPause);
+  }
+  EXPECT_LE(CountCrashes() - before, kMostLateSends)
+      << "statuses of the returns: " << statuses;
+  RecordProperty("late_sends", static_cast<int>(CountCrashes() - before));
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds,
+                         CrashingRequestTest,
+                         testing::ValuesIn(kCases),
+                         [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -200,12 +200,32 @@
                                                  const Address& listen)
     : loop_(loop),
       id_(std::move(id)),
-      listen_(listen),
-      listener_(OrDie(Listen(listen))) {
+      listen_(listen) {
+  StartListening();
+}
+
+void PlatformStandinEndpoint::StartListening() {
+  listener_ = OrDie(Listen(listen_));
   accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
                            [this](bool, bool) { Accept(); });
 }
 
+void PlatformStandinEndpoint::Crash() {
+  ++crashes_;
+  accept_.reset();
+  listener_ = Socket();
+  for (const auto& it : std::exchange(connections_, {})) {
+    it->work.reset();
+    it->endless.reset();
+    it->stream->Close();
+  }
+  restart_ = loop_.After(kStandinDownTime, [this] {
+    StartListening();
+    if (on_restart_)
+      on_restart_();
+  });
+}
+
 Json PlatformStandinEndpoint::Record(const std::string& service,
                                      const std::string& zone) const {
   return Json{{"service", service},
@@ -216,7 +236,7 @@
               {"state", "ready"},
               {"cold-remaining-s", 0},
               {"sequence", 1},
-              {"born", 1}};
+              {"born", 1 + crashes_}};
 }
 
 void PlatformStandinEndpoint::Accept() {
@@ -274,6 +294,11 @@
     return;
   }
   runs_.push_back({request_id, head, body});
+  if (crash_rule_ && crash_rule_(head, body)) {
+    // On a later turn: the connection's own handler is running.
+    loop_.Post([this] { Crash(); });
+    return;
+  }
   connection->work = loop_.After(work_, [this, connection, request_id] {
     connection->work.reset();
     Finish(connection, request_id);
@@ -486,8 +511,11 @@
   endpoints_.push_back(std::make_unique<PlatformStandinEndpoint>(
       loop_, "i-" + std::to_string(number),
       HostAddress(100 + number, kEndpointPort)));
-  Register(*endpoints_.back(), service);
-  return *endpoints_.back();
+  PlatformStandinEndpoint& endpoint = *endpoints_.back();
+  endpoint.set_on_restart(
+      [this, &endpoint, service] { Register(endpoint, service); });
+  Register(endpoint, service);
+  return endpoint;
 }
 
 void PlatformWorld::Register(PlatformStandinEndpoint& endpoint,
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -106,6 +106,9 @@
   kEndlessBody,     // The answer's own body.
 };
 
+// How long a stand-in endpoint that crashed is away.
+inline constexpr std::chrono::milliseconds kStandinDownTime{1000};
+
 // One of the platform's endpoints.
 class PlatformStandinEndpoint {
  public:
@@ -125,6 +128,13 @@
   int cancelled() const { return cancelled_; }
   void set_act(StandinAct act) { act_ = act; }
   void set_work(Duration work) { work_ = work; }
+  // Requests that end the endpoint's process as it begins to run them. All its
+  // connections break; it is back after kStandinDownTime, born anew.
+  using CrashRule =
+      std::function<bool(const HttpHead& head, const std::string& body)>;
+  void set_crash_rule(CrashRule rule) { crash_rule_ = std::move(rule); }
+  void set_on_restart(std::function<void()> fn) { on_restart_ = std::move(fn); }
+  int crashes() const { return crashes_; }
   nlohmann::json Record(const std::string& service,
                         const std::string& zone) const;
 
@@ -137,6 +147,8 @@
     std::unique_ptr<Watch> work;
     std::unique_ptr<Watch> endless;
   };
+  void StartListening();
+  void Crash();
   void Accept();
   void OnData(const std::shared_ptr<Connection>& connection,
               std::string_view data);
@@ -152,6 +164,10 @@
   Address listen_;
   Socket listener_;
   std::unique_ptr<Watch> accept_;
+  std::unique_ptr<Watch> restart_;
+  CrashRule crash_rule_;
+  std::function<void()> on_restart_;
+  int crashes_ = 0;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<Run> runs_;
   int arrivals_ = 0;
