--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
-#include "standins/platform_world.h"
+#include "gateway/gateway_fixture.h"
 
 namespace sassafras {
 namespace {
@@ -21,7 +21,6 @@
 constexpr milliseconds kSettleTime{5000};
 constexpr int kReturns = 12;
 constexpr milliseconds kReturnPause{300};
-constexpr milliseconds kAnswerTime{3000};
 
 constexpr char kCrashingId[] = "crash-";
 constexpr char kOtherCaller[] = "Cookie: Affinity-Key=7; session=other\r\n";
@@ -46,15 +45,8 @@
   bool restarts_hosts = false;
 };
 
-class CrashingRequestTest : public testing::Test {
+class CrashingRequestTest : public GatewayTest {
  protected:
-  static int NextNetwork() {
-    static int network = 190;
-    return network++;
-  }
-
-  CrashingRequestTest() : world_(NextNetwork()) {}
-
   void Start() {
     world_.PutConfig(1);
     for (int i = 0; i < kEndpoints; ++i) {
@@ -72,27 +64,13 @@
     Wait(kSettleTime);
   }
 
-  void Wait(milliseconds time) {
-    world_.RunUntil(time, [] { return false; });
-  }
-
-  // Sends one request to a host on a connection of its own; status 0: none.
-  int Status(int host, const std::string& text) {
-    PlatformStandinCaller caller(world_.loop(), world_.CallersOf(host));
-    caller.Send(text);
-    world_.RunUntil(kAnswerTime, [&] {
-      return !caller.answers().empty() || caller.is_closed();
-    });
-    return caller.answers().empty() ? 0 : caller.answers()[0].head.status;
-  }
-
   // The crashing request comes again, at each host in turn.
   int Return(const Play& it) { return ReturnTo(1 + returns_ % kHosts, it); }
 
   int ReturnTo(int host, const Play& it) {
-    return Status(host, RequestText(it.method, it.path,
-                                    kCrashingId + std::to_string(++returns_),
-                                    kSameCaller, it.body));
+    return StatusAt(host, RequestText(it.method, it.path,
+                                      kCrashingId + std::to_string(++returns_),
+                                      kSameCaller, it.body));
   }
 
   void Restart(int host) {
@@ -106,13 +84,15 @@
   void SendOthers(const Play& it, int round) {
     const int host = 1 + round % kHosts;
     const std::string id = std::to_string(round);
-    EXPECT_EQ(Status(host, RequestText("GET", "/read/2", "a" + id)), 200) << id;
+    EXPECT_EQ(StatusAt(host, RequestText("GET", "/read/2", "a" + id)), 200)
+        << id;
     for (const Other& other : it.others) {
       const int status =
-          Status(host, RequestText(other.method, other.path, "b" + id,
-                                   other.fields, other.body));
-      if (other.is_distinct)
+          StatusAt(host, RequestText(other.method, other.path, "b" + id,
+                                     other.fields, other.body));
+      if (other.is_distinct) {
         EXPECT_EQ(status, 200) << id;
+      }
     }
   }
 
@@ -125,8 +105,6 @@
     return n;
   }
 
-  PlatformWorld world_;
-  std::vector<PlatformStandinEndpoint*> endpoints_;
   int returns_ = 0;
 };
 
--- /dev/null
+++ b/tests/gateway/foreign_bytes_test.cc
@@ -0,0 +1,196 @@
+// What other parties write beyond the object or request that it concerns:
+// entries of the registry that cannot be read, refusals that are written again,
+// answers' heads that break off.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <set>
+
+#include "gateway/gateway_fixture.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using ForeignBytesTest = GatewayTest;
+
+constexpr milliseconds kFollowTime{3000};
+
+struct OddEntry {
+  const char* name;
+  std::string text;
+};
+
+std::string Record(const std::string& field, const std::string& value) {
+  std::string text =
+      R"({"service":"rondas","address":"127.9.9.9:80","zone":"cuyo-a",)"
+      R"("slots":4,"state":"ready","born":1)";
+  const size_t at = text.find('"' + field + '"');
+  if (at == std::string::npos)
+    return text + ",\"" + field + "\":" + value + "}";
+  const size_t begin = text.find(':', at) + 1;
+  const size_t end = std::min(text.find(",\"", begin), text.size());
+  return text.replace(begin, end - begin, value) + "}";
+}
+
+std::vector<OddEntry> OddEntries() {
+  constexpr size_t kDepth = 100'000;
+  return {
+      {"deep", Record("more", std::string(kDepth, '[') + "1" +
+                                  std::string(kDepth, ']'))},
+      {"deep objects",
+       [] {
+         std::string text = "1";
+         for (int i = 0; i < 20'000; ++i)
+           text = "{\"a\":" + text + "}";
+         return text;
+       }()},
+      {"large real", Record("more", "1e999")},
+      {"large slots", Record("slots", "1e999")},
+      {"slots out of range", Record("slots", "-1e300")},
+      {"large start", Record("born", "1e300")},
+      {"long start", Record("born", std::string(400, '9'))},
+      {"warm-up out of range", Record("cold-remaining-s", "1e300")},
+      {"port out of range", Record("address", "\"127.9.9.9:70000\"")},
+      {"negative port", Record("address", "\"127.9.9.9:-1\"")},
+      {"no UTF-8", Record("more", "\"\xff\xfe\"")},
+      {"no table", "[1]"},
+  };
+}
+
+// The host goes on, and follows what others write before and after.
+TEST_F(ForeignBytesTest, OddEntryOfTheRegistryHidesNoOther) {
+  StartOne();
+  int n = 0;
+  for (const OddEntry& it : OddEntries()) {
+    SCOPED_TRACE(it.name);
+    // Before and behind the others in the list.
+    world_.store().PutText("servers", "a-odd", it.text);
+    world_.store().PutText("servers", "z-odd", it.text);
+    endpoints_.push_back(&world_.AddEndpoint("rondas"));
+    PlatformStandinEndpoint& added = *endpoints_.back();
+    EXPECT_TRUE(world_.Eventually(kFollowTime, [&] {
+      ++n;
+      Status(RequestText("GET", "/read/" + std::to_string(n),
+                         "o" + std::to_string(n)));
+      return !added.runs().empty();
+    }));
+    const bool has_ended = world_.HasEnded(1);
+    EXPECT_FALSE(has_ended);
+    if (has_ended) {
+      world_.StartGateway(1);
+      world_.WaitReady(1);
+    }
+    // A host that starts reads the entry in a list.
+    world_.StartGateway(2);
+    EXPECT_TRUE(world_.WaitReady(2));
+    EXPECT_EQ(
+        StatusAt(2, RequestText("GET", "/read/1", "p" + std::to_string(n))),
+        200);
+    const bool has_other_ended = world_.HasEnded(2);
+    EXPECT_FALSE(has_other_ended);
+    if (!has_other_ended) {
+      world_.Signal(2, SIGKILL);
+      world_.WaitEnd(2, seconds(2));
+    }
+    address_ = world_.CallersOf(1);
+    world_.store().Delete("servers", "a-odd");
+    world_.store().Delete("servers", "z-odd");
+  }
+}
+
+// A page of a list that holds nothing but odd entries is not its end.
+TEST_F(ForeignBytesTest, PageOfOddEntriesIsReadPast) {
+  world_.store().set_page_size(2);
+  for (int i = 0; i < 5; ++i)
+    world_.store().PutText("servers", "a-odd-" + std::to_string(i), "\"\xff\"");
+  StartOne(3);
+  std::set<std::string> seen;
+  for (int i = 0; i < 60 && seen.size() < 3; ++i) {
+    Status(RequestText("GET", "/read/" + std::to_string(i),
+                       "q" + std::to_string(i),
+                       "Cookie: Affinity-Key=" + std::to_string(i) + "\r\n"));
+    for (size_t k = 0; k < endpoints_.size(); ++k) {
+      if (!endpoints_[k]->runs().empty())
+        seen.insert(std::to_string(k));
+    }
+  }
+  EXPECT_EQ(seen.size(), 3U);
+}
+
+// Callers were told "not run" of requests that an endpoint had run, or such a
+// request ran on a second endpoint.
+TEST_F(ForeignBytesTest, RefusalWrittenAgainConcernsNoOtherRequest) {
+  StartOne(2);
+  WaitUntilHostsAreKnown();
+  int n = 0;
+  for (const StandinAct act :
+       {StandinAct::kShedUnnamed, StandinAct::kShedAgain}) {
+    for (const char* method : {"GET", "POST"}) {
+      SCOPED_TRACE(std::string(method) + std::to_string(static_cast<int>(act)));
+      const std::string path =
+          std::string(method) == "GET" ? "/read/1" : "/charge/1";
+      // Leaves a refusal on each kept connection.
+      SetAct(StandinAct::kShed);
+      EXPECT_EQ(Status(RequestText(method, path, "s" + std::to_string(++n))),
+                503);
+      SetAct(act);
+      const size_t before = CountRuns();
+      EXPECT_EQ(Status(RequestText(method, path, "t" + std::to_string(++n))),
+                200);
+      EXPECT_EQ(CountRuns() - before, 1U);
+      Wait(milliseconds(1200));
+    }
+  }
+}
+
+// A second try on the connection of the first could not be told from it.
+TEST_F(ForeignBytesTest, RefusedRequestIsNotSentToTheSameEndpointAgain) {
+  StartOne(1);
+  WaitUntilHostsAreKnown();
+  SetAct(StandinAct::kShed);
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "u1")), 503);
+  EXPECT_EQ(endpoints_[0]->arrivals(), 1);
+}
+
+// Callers got a 200 with an empty or short body, framed as whole.
+TEST_F(ForeignBytesTest, HeadThatBreaksOffIsNoAnswer) {
+  constexpr int kEndpoints = 8;
+  StartOne(kEndpoints);
+  int n = 0;
+  for (const StandinAct act :
+       {StandinAct::kCutHead, StandinAct::kCutChunkedHead}) {
+    // Learns the head's size.
+    SetAct(act);
+    Status(RequestText("POST", "/charge/1", "v0"));
+    size_t size = 0;
+    for (const PlatformStandinEndpoint* it : endpoints_)
+      size = std::max(size, it->head_size());
+    ASSERT_GT(size, 0U);
+    for (size_t cut = 0; cut <= size; cut += cut + 6 < size ? 6 : 1) {
+      SCOPED_TRACE(cut);
+      const std::string id = "v" + std::to_string(++n);
+      // Kept connections for every other one.
+      SetAct(StandinAct::kAnswer);
+      if (n % 2 == 0)
+        Status(RequestText("POST", "/charge/" + id, id + "k"));
+      SetAct(act);
+      for (PlatformStandinEndpoint* it : endpoints_)
+        it->set_head_cut(cut);
+      const auto caller = Connect();
+      caller->Send(RequestText("POST", "/charge/" + id, id));
+      world_.RunUntil(kAnswerTime, [&] {
+        return !caller->answers().empty() || caller->is_closed();
+      });
+      ASSERT_FALSE(caller->answers().empty());
+      EXPECT_GE(caller->answers()[0].head.status, 500);
+      Wait(milliseconds(150));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -8,9 +8,8 @@
 #include <set>
 #include <sstream>
 
+#include "gateway/gateway_fixture.h"
 #include "platform/platform.h"
-#include "routing/host_members.h"
-#include "standins/platform_world.h"
 
 namespace sassafras {
 namespace {
@@ -18,71 +17,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds kAnswerTime{3000};
-
-// Each test has loopback addresses of its own.
-int NextNetwork() {
-  static int network = 120;
-  return network++;
-}
-
-class GatewayTest : public testing::Test {
- protected:
-  GatewayTest() : world_(NextNetwork()) {}
-
-  // One gateway and `endpoints` endpoints, ready to serve.
-  void StartOne(int endpoints = 1) {
-    world_.PutConfig(1);
-    for (int i = 0; i < endpoints; ++i)
-      endpoints_.push_back(&world_.AddEndpoint("rondas"));
-    address_ = world_.StartGateway(1);
-    ASSERT_TRUE(world_.WaitReady(1));
-    // All endpoints' records have arrived with the first lists.
-  }
-
-  std::unique_ptr<PlatformStandinCaller> Connect() {
-    return std::make_unique<PlatformStandinCaller>(world_.loop(), address_);
-  }
-
-  bool WaitAnswers(const PlatformStandinCaller& caller, size_t n) {
-    return world_.RunUntil(kAnswerTime,
-                           [&] { return caller.answers().size() >= n; });
-  }
-
-  // Sends one request on a connection of its own; status 0: no answer.
-  int Status(const std::string& text) {
-    const auto caller = Connect();
-    caller->Send(text);
-    world_.RunUntil(kAnswerTime, [&] {
-      return !caller->answers().empty() || caller->is_closed();
-    });
-    return caller->answers().empty() ? 0 : caller->answers()[0].head.status;
-  }
-
-  // A host that has just started takes nothing of the slack of retries that all
-  // hosts share, so that its first requests may have one try only.
-  void WaitUntilHostsAreKnown() {
-    world_.RunUntil(std::chrono::duration_cast<milliseconds>(kHostSilence),
-                    [] { return false; });
-  }
-
-  void SetAct(StandinAct act) {
-    for (PlatformStandinEndpoint* it : endpoints_)
-      it->set_act(act);
-  }
-
-  size_t CountRuns() const {
-    size_t n = 0;
-    for (const PlatformStandinEndpoint* it : endpoints_)
-      n += it->runs().size();
-    return n;
-  }
-
-  PlatformWorld world_;
-  std::vector<PlatformStandinEndpoint*> endpoints_;
-  Address address_;
-};
-
 TEST_F(GatewayTest, AnswerIsHandedOnUnchanged) {
   StartOne();
   const auto caller = Connect();
@@ -479,9 +413,9 @@
 }
 
 // A read that breaks each endpoint which runs it is tried twice until the hosts
-// know it, and once from then on, whichever host it comes to. Other requests
-// keep their second try.
-TEST_F(GatewayTest, ReadThatBreaksEndpointsIsNotTriedAgainByAnyHost) {
+// know it, and refused at once from then on, whichever host it comes to. Other
+// requests keep their second try.
+TEST_F(GatewayTest, ReadThatBreaksEndpointsIsNotSentAgainByAnyHost) {
   world_.PutConfig(1);
   for (int i = 0; i < 5; ++i)
     endpoints_.push_back(&world_.AddEndpoint("rondas"));
@@ -501,10 +435,13 @@
     SCOPED_TRACE(i);
     address_ = world_.CallersOf(i);
     const size_t before = CountRuns();
-    EXPECT_EQ(Status(RequestText("GET", "/read/1", "c3" + std::to_string(i))),
-              502);
-    EXPECT_EQ(CountRuns() - before, 1U);
-    world_.RunUntil(milliseconds(1200), [] { return false; });
+    const auto caller = Connect();
+    caller->Send(RequestText("GET", "/read/1", "c3" + std::to_string(i)));
+    ASSERT_TRUE(WaitAnswers(*caller, 1));
+    const HttpHead& head = caller->answers()[0].head;
+    EXPECT_EQ(head.status, 503);
+    EXPECT_TRUE(FindField(head.fields, "Retry-After"));
+    EXPECT_EQ(CountRuns() - before, 0U);
   }
   const size_t before = CountRuns();
   EXPECT_EQ(Status(RequestText("GET", "/read/2", "c4")), 502);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -27,6 +27,8 @@
 constexpr uint16_t kStorePort = 8142;
 constexpr uint16_t kEndpointPort = 8080;
 constexpr auto kPollPeriod = std::chrono::milliseconds(5);
+// Stands for a text of PutText() in an object.
+const std::string kTextMark = "text:";
 constexpr HttpReadLimits kLimits{64 << 10, 256 << 20};
 
 template <typename T>
@@ -82,6 +84,24 @@
   Record(kind, name, false);
 }
 
+void PlatformStandinStore::PutText(const std::string& kind,
+                                   const std::string& name,
+                                   const std::string& text) {
+  Put(kind, name, kTextMark + std::to_string(texts_.size()));
+  texts_.push_back(text);
+}
+
+std::string PlatformStandinStore::Dump(const Json& body) const {
+  std::string out = body.dump();
+  for (size_t i = 0; i < texts_.size(); ++i) {
+    const std::string mark = '"' + (kTextMark + std::to_string(i)) + '"';
+    for (size_t at = out.find(mark); at != std::string::npos;
+         at = out.find(mark, at + texts_[i].size()))
+      out.replace(at, mark.size(), texts_[i]);
+  }
+  return out;
+}
+
 void PlatformStandinStore::Delete(const std::string& kind,
                                   const std::string& name) {
   ++revision_;
@@ -144,10 +164,9 @@
   for (; it != objects.end() && items.size() < page_size_; ++it)
     items.push_back(BodyOf(kind, it->first));
   session->Respond(kHttpOk, {},
-                   Json{{"items", items},
-                        {"has-more", it != objects.end()},
-                        {"as-of", revision_}}
-                       .dump());
+                   Dump({{"items", items},
+                         {"has-more", it != objects.end()},
+                         {"as-of", revision_}}));
 }
 
 bool PlatformStandinStore::TryAnswerWatch(Waiting& waiting) {
@@ -159,8 +178,8 @@
   if (events.empty())
     return false;
   waiting.session->set_on_gone(nullptr);
-  waiting.session->Respond(
-      kHttpOk, {}, Json{{"events", events}, {"as-of", revision_}}.dump());
+  waiting.session->Respond(kHttpOk, {},
+                           Dump({{"events", events}, {"as-of", revision_}}));
   return true;
 }
 
@@ -287,7 +306,8 @@
       HttpFields fields = {{"Request-Id", request_id}, {"Content-Length", "0"}};
       if (!is_other)
         fields.push_back({"Not-Executed", "1"});
-      connection->stream->Write(FormatAnswerHead(is_other ? 421 : 503, fields));
+      connection->last_refusal = FormatAnswerHead(is_other ? 421 : 503, fields);
+      connection->stream->Write(connection->last_refusal);
     });
     return;
   }
@@ -297,6 +317,12 @@
     loop_.Post([this] { Crash(); });
     return;
   }
+  if (act_ == StandinAct::kShedUnnamed) {
+    connection->stream->Write(FormatAnswerHead(
+        503, {{"Not-Executed", "1"}, {"Content-Length", "0"}}));
+  } else if (act_ == StandinAct::kShedAgain) {
+    connection->stream->Write(connection->last_refusal);
+  }
   connection->work = loop_.After(work_, [this, connection, request_id] {
     connection->work.reset();
     Finish(connection, request_id);
@@ -342,6 +368,16 @@
       stream.Write(FormatAnswerHead(200, fields) + body.substr(0, 3));
       stream.CloseGracefully();
       return;
+    case StandinAct::kCutHead:
+    case StandinAct::kCutChunkedHead: {
+      if (act_ == StandinAct::kCutChunkedHead)
+        fields.back() = {"Transfer-Encoding", "chunked"};
+      const std::string head = FormatAnswerHead(200, fields);
+      head_size_ = head.size();
+      stream.Write(head.substr(0, head_cut_));
+      stream.CloseGracefully();
+      return;
+    }
     case StandinAct::kUnsigned:
       fields.erase(fields.begin() + 1);
       break;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -32,6 +32,10 @@
            const std::string& name,
            const nlohmann::json& specification);
   void Delete(const std::string& kind, const std::string& name);
+  // As Put(), with a text in place of the specification that need not be JSON.
+  void PutText(const std::string& kind,
+               const std::string& name,
+               const std::string& text);
 
   // Watches that wait now hear nothing more.
   void DeafenWatches();
@@ -69,6 +73,7 @@
   void AnswerWatch(const Session& session, const std::string& kind);
   void AnswerList(const Session& session, const std::string& kind);
   void Record(const std::string& kind, const std::string& name, bool deleted);
+  std::string Dump(const nlohmann::json& body) const;
   bool TryAnswerWatch(Waiting& waiting);
   nlohmann::json BodyOf(const std::string& kind, const std::string& name);
 
@@ -76,6 +81,7 @@
   std::unique_ptr<HttpServer> server_;
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::deque<Event> events_;
+  std::vector<std::string> texts_;  // Of PutText().
   uint64_t revision_ = 1;
   uint64_t history_from_ = 0;
   std::vector<std::shared_ptr<Waiting>> waiting_;
@@ -96,6 +102,11 @@
   kFail,         // Its own, signed 500.
   kMisdirected,  // Says that another endpoint was meant.
   kUnproven,     // Runs it and answers 503 without proof that it did not.
+  kShedUnnamed,  // Runs it; writes a refusal that names no request, then this
+                 // request's answer.
+  kShedAgain,    // As above, with the connection's last refusal, if any.
+  kCutHead,      // Breaks off in the middle of the answer's head.
+  kCutChunkedHead,  // As above, of an answer in chunks.
   // Sends this without end, until its connection is closed.
   kEndlessNoise,    // No HTTP at all.
   kEndlessHead,     // Fields.
@@ -128,6 +139,10 @@
   int cancelled() const { return cancelled_; }
   void set_act(StandinAct act) { act_ = act; }
   void set_work(Duration work) { work_ = work; }
+  // Bytes of the head that are written by kCutHead and kCutChunkedHead.
+  void set_head_cut(size_t n) { head_cut_ = n; }
+  // Size of the head that these acts cut.
+  size_t head_size() const { return head_size_; }
   // Requests that end the endpoint's process as it begins to run them. All its
   // connections break; it is back after kStandinDownTime, born anew.
   using CrashRule =
@@ -146,6 +161,7 @@
     std::string body;
     std::unique_ptr<Watch> work;
     std::unique_ptr<Watch> endless;
+    std::string last_refusal;
   };
   void StartListening();
   void Crash();
@@ -168,6 +184,8 @@
   CrashRule crash_rule_;
   std::function<void()> on_restart_;
   int crashes_ = 0;
+  size_t head_cut_ = 0;
+  size_t head_size_ = 0;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<Run> runs_;
   int arrivals_ = 0;
