Refuse requests under which three endpoints have crashed

What callers saw: 502 at each return of the request; endpoints ended one after the other, and with them whatever else they ran.

Cause: whether endpoints had crashed under a request was asked only after a try, for a second one; the first send of each return was free. The test shared that reading of the rule. Three more ways led past the count: crashes under work that must not run twice were not counted; one answer to any request of the same path, also another caller's, voided all crashes for good; hosts were told of a crash for 3 s only, so that one that started later knew nothing. Class: a bound on sends is checked where some of them are decided, not where a send is.

Fix: the check stands before the first placement of a request. Its identity has the caller's credentials and cookies and the body; every kind of request counts; suspicions are told as long as they last, and at once from the second crash on; one host of all may try a suspect, twice at most. Honest requests: sends that overlapped count once, endpoints that crashed under a worse request are not held against another, ten answers in a row void what came before.

A host that has started anew under its id is told everything at once.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -50,8 +50,6 @@
     : state_(state),
       sink_(std::move(sink)),
       request_(platform::DecodeRequest(head)),
-      request_hash_(
-          HashOfRequest(request_.method, request_.host, request_.target)),
       caller_keeps_alive_(head.keep_alive),
       has_body_(head.chunked || head.content_length.value_or(0) > 0),
       caller_chunked_(head.chunked),
@@ -110,9 +108,45 @@
   if (!has_body_)
     body_complete_ = true;
   if (body_complete_ || body_.size() >= kReplayBytes)
+    Start();
+}
+
+// Places the request for the first time, as soon as so much of its body is
+// there as is kept for further tries.
+void GatewayExchange::Start() {
+  const std::string_view body(body_);
+  request_hash_ =
+      HashOfRequest({request_.method, request_.host, request_.target,
+                     request_.caller, body.substr(0, kReplayBytes)});
+  if (!IsHeldBack())
     TryNext();
 }
 
+// Refuses a request that would most likely cost another endpoint.
+bool GatewayExchange::IsHeldBack() {
+  const PlacementContext& hosts = state_.placement;
+  const bool is_prober = IsProber(request_hash_, hosts.own_hash,
+                                  hosts.host_hashes, hosts.knows_hosts);
+  const ReturnDecision decision =
+      OnReturn(state_.crashes, request_hash_, is_prober, state_.loop.Now());
+  if (decision.verdict == ReturnVerdict::kSend)
+    return false;
+  state_.metrics.Count(
+      "gateway_suspect_returns_total",
+      "verdict=\"" + std::string(NameOf(decision.verdict)) + "\"");
+  LogLine(LogLevel::kWarning, "request", "A suspect has come again.")
+      .With("id", request_.id)
+      .With("request", request_hash_)
+      .With("verdict", NameOf(decision.verdict))
+      .With("crashes", decision.crashes)
+      .With("last_crash_ms_ago", Millis(decision.last_crash_age))
+      .With("hold_ms", Millis(decision.hold));
+  if (decision.verdict == ReturnVerdict::kProbe)
+    return false;
+  Refuse("crashes_endpoints", decision.hold);
+  return true;
+}
+
 // Counts the request into its service's demand. All tries of the request see
 // the endpoints divided alike.
 void GatewayExchange::NoteDemand() {
@@ -149,7 +183,7 @@
   if (try_ && try_->sent)
     SendBody();
   else if (!try_ && body_.size() >= kReplayBytes)
-    TryNext();
+    Start();
 }
 
 void GatewayExchange::OnBodyEnd() {
@@ -159,7 +193,7 @@
   if (try_ && try_->sent)
     SendBody();
   else if (!try_)
-    TryNext();
+    Start();
 }
 
 void GatewayExchange::OnBodyFault(int status) {
@@ -370,26 +404,22 @@
                        "outcome=\"" + std::string(NameOf(outcome)) + "\"");
 }
 
-// Only work that may be sent again is of interest: other work is tried once.
-void GatewayExchange::NoteCrash(const Try& ended, TryOutcome outcome) {
-  if (outcome == TryOutcome::kBroken) {
-    LogLine(LogLevel::kInfo, "request", "Endpoint broke under a request.")
-        .With("id", request_.id)
-        .With("request", request_hash_)
-        .With("endpoint", ended.endpoint->record.id)
-        .With("is_counted", may_repeat())
-        .With("crashes", CountCrashes(state_.crashes, request_hash_));
-  }
-  if (!may_repeat())
+void GatewayExchange::NoteAnswer(const Try& ended) {
+  const size_t crashes = CountCrashes(state_.crashes, request_hash_);
+  if (!OnAnswered(state_.crashes, request_hash_, ended.sent_at,
+                  state_.loop.Now()))
     return;
+  LogLine(LogLevel::kInfo, "request", "A suspect was answered.")
+      .With("id", request_.id)
+      .With("request", request_hash_)
+      .With("endpoint", ended.endpoint->record.id)
+      .With("crashes", crashes);
+  state_.announce();
+}
+
+void GatewayExchange::NoteCrash(const Try& ended, TryOutcome outcome) {
   if (outcome == TryOutcome::kAnswered || outcome == TryOutcome::kFailed) {
-    if (const size_t crashes = CountCrashes(state_.crashes, request_hash_)) {
-      LogLine(LogLevel::kInfo, "request", "Answered; crashes are void.")
-          .With("id", request_.id)
-          .With("request", request_hash_)
-          .With("crashes", crashes);
-    }
-    OnAnswered(state_.crashes, request_hash_);
+    NoteAnswer(ended);
     return;
   }
   if (outcome != TryOutcome::kBroken)
@@ -397,16 +427,24 @@
   const EndpointView& endpoint = *ended.endpoint;
   const uint64_t start =
       HashPair(endpoint.hash, static_cast<uint64_t>(endpoint.record.born_ms));
-  const bool is_new =
-      OnCrash(state_.crashes, {request_hash_, static_cast<uint32_t>(start)},
-              state_.loop.Now());
-  if (!is_new || !IsSuspect(state_.crashes, request_hash_))
+  const Time now = state_.loop.Now();
+  if (!OnCrash(state_.crashes, request_hash_, static_cast<uint32_t>(start),
+               {ended.sent_at, now}, now))
     return;
-  state_.metrics.Count("gateway_suspect_requests_total", "");
-  LogLine(LogLevel::kWarning, "request", "Endpoints break under a request.")
+  const size_t crashes = CountCrashes(state_.crashes, request_hash_);
+  const bool is_suspect = IsSuspect(state_.crashes, request_hash_);
+  LogLine(LogLevel::kInfo, "request", "Endpoint broke under a request.")
       .With("id", request_.id)
-      .With("path", request_.path)
-      .With("endpoints", CountCrashes(state_.crashes, request_hash_));
+      .With("request", request_hash_)
+      .With("endpoint", endpoint.record.id)
+      .With("crashes", crashes)
+      .With("is_suspect", is_suspect);
+  if (crashes < kCrashesByChance)
+    return;
+  if (is_suspect)
+    state_.metrics.Count("gateway_suspect_requests_total", "");
+  // The request may come again at once, through any host.
+  state_.announce();
 }
 
 // Keeps the connection if it can carry another request, else closes it.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,6 +96,8 @@
   };
 
   void NoteDemand();
+  void Start();
+  bool IsHeldBack();
   void TryNext();
   void Connect(const EndpointPtr& endpoint);
   void OnConnected();
@@ -124,6 +126,7 @@
   HttpFields AnswerFields(const WireAnswer& answer);
   void NoteOutcome(const Try& ended, TryOutcome outcome);
   void NoteCrash(const Try& ended, TryOutcome outcome);
+  void NoteAnswer(const Try& ended);
   void LogTry(const Try& ended, TryOutcome outcome, NextStep step) const;
   Duration TimeLeft() const;
   uint64_t HashOfId() const;
@@ -131,7 +134,8 @@
   GatewayState& state_;
   std::weak_ptr<ExchangeSink> sink_;
   CallerRequest request_;
-  uint64_t request_hash_;  // See HashOfRequest().
+  // See HashOfRequest(); known from the first placement on.
+  uint64_t request_hash_ = 0;
   bool caller_keeps_alive_ = true;
   bool has_body_ = false;
   bool caller_chunked_ = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,6 +60,7 @@
             [this] { OnComplete(); },
             [this] { gossip_.Announce(); }),
         gossip_(state_) {
+    state_.announce = [this] { gossip_.AnnounceSoon(); };
     HostNotice& self = state_.members.self;
     self.id = settings.host;
     self.ip = settings.ip;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 #ifndef GATEWAY_GATEWAY_STATE_H_
 #define GATEWAY_GATEWAY_STATE_H_
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -45,6 +46,8 @@
   EndpointPool pool;
   Metrics metrics;
   std::mt19937_64 random;
+  // Tells all hosts at once what this one has learnt.
+  std::function<void()> announce = [] {};
   // SIGTERM has arrived: answers close their connections.
   bool stopping = false;
   Time exit_at;  // When a stopping process ends, whatever is open.
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <cmath>
 #include <cstring>
+#include <limits>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -29,6 +30,15 @@
 // Notices in one datagram, so that it stays well below kMostBytes.
 constexpr size_t kMostNotices = 400;
 
+uint32_t ToMillis(Duration age) {
+  return static_cast<uint32_t>(std::clamp<int64_t>(
+      Millis(age), 0, std::numeric_limits<uint32_t>::max()));
+}
+
+// A message to all hosts is sent no more often: many endpoints may break at
+// once.
+constexpr Duration kAnnouncePause = std::chrono::milliseconds(200);
+
 // A notice as a list; the order of its items is the protocol's.
 Json ToItems(const HostNotice& it) {
   return Json::array({it.id.value(), it.ip, it.caller_port, it.zone.value(),
@@ -54,6 +64,30 @@
   return it;
 }
 
+// The ages of a send are in milliseconds.
+Json ToItems(const CrashNotice& it) {
+  Json items = Json::array({it.request, it.epoch, ToMillis(it.returned_age)});
+  for (const CrashNotice::Send& send : it.sends) {
+    items.push_back(send.endpoint);
+    items.push_back(ToMillis(send.sent_age));
+    items.push_back(ToMillis(send.broke_age));
+  }
+  return items;
+}
+
+CrashNotice CrashFromItems(const Json& items) {
+  const auto age = [&](size_t i) {
+    return std::chrono::milliseconds(items.at(i).get<uint32_t>());
+  };
+  CrashNotice it;
+  it.request = items.at(0).get<uint64_t>();
+  it.epoch = items.at(1).get<uint32_t>();
+  it.returned_age = age(2);
+  for (size_t i = 3; i + 2 < items.size(); i += 3)
+    it.sends.push_back({items[i].get<uint32_t>(), age(i + 1), age(i + 2)});
+  return it;
+}
+
 // Slots are sent as whole thousandths, which take fewer bytes than reals.
 uint32_t ToThousandths(double slots) {
   return static_cast<uint32_t>(std::lround(std::max(slots, 0.0) * 1000));
@@ -92,13 +126,12 @@
   }
   Json crashes = Json::array();
   for (const CrashNotice& it : message.crashes) {
-    crashes.push_back(it.request);
-    crashes.push_back(it.endpoint);
+    crashes.push_back(ToItems(it));
   }
   std::string out;
   Json::to_cbor(
       Json::array({kProtocolVersion, std::move(notices), std::move(beats),
-                   std::move(demands), std::move(crashes)}),
+                   std::move(demands), Json::array(), std::move(crashes)}),
       out);
   return out;
 }
@@ -127,12 +160,10 @@
                              FromThousandths(demands[i + 1].get<uint32_t>()),
                              FromThousandths(demands[i + 2].get<uint32_t>())});
     }
-    // Nor do they tell of crashes.
-    const Json crashes = json.size() > 4 ? json[4] : Json::array();
-    for (size_t i = 0; i + 1 < crashes.size(); i += 2) {
-      out.crashes.push_back(
-          {crashes[i].get<uint64_t>(), crashes[i + 1].get<uint32_t>()});
-    }
+    // Nor do they tell of crashes, or did so as pairs in the item before.
+    const Json crashes = json.size() > 5 ? json[5] : Json::array();
+    for (const Json& it : crashes)
+      out.crashes.push_back(CrashFromItems(it));
     return out;
   } catch (const std::exception& e) {
     return fail(e.what());
@@ -176,17 +207,36 @@
         });
     const Time now = state_.loop.Now();
     const GossipNews news = OnGossip(state_.members, message, now);
-    for (const CrashNotice& it : message.crashes)
-      OnCrash(state_.crashes, it, now);
+    TakeCrashes(message);
     for (const HostId& it : news.back)
       LogLine(LogLevel::kInfo, "members", "Host is heard.").With("host", it);
     if (!news.back.empty())
       UpdateAlive();
     if (news.is_sender_new)
-      Send(WholeMessage(state_.members, now), {message.notices.front().ip});
+      SendWhole(message.notices.front().ip);
   }
 }
 
+void Gossip::TakeCrashes(const GossipMessage& message) {
+  for (const CrashNotice& it : message.crashes) {
+    if (!OnCrashNotice(state_.crashes, it, state_.loop.Now()))
+      continue;
+    LogLine(LogLevel::kWarning, "members", "A host tells of a suspect.")
+        .With("host", message.notices.empty() ? HostId("-")
+                                              : message.notices.front().id)
+        .With("request", it.request)
+        .With("crashes", CountCrashes(state_.crashes, it.request))
+        .With("returned_ms_ago", Millis(it.returned_age));
+  }
+}
+
+void Gossip::SendWhole(const std::string& ip) {
+  const Time now = state_.loop.Now();
+  GossipMessage message = WholeMessage(state_.members, now);
+  message.crashes = NoticesToTell(state_.crashes, now);
+  Send(message, {ip});
+}
+
 void Gossip::OnTick() {
   UpdateAlive();
   RefreshReserves(state_);
@@ -194,7 +244,8 @@
   GossipRound round = NextRound(state_.members, state_.settings.seed_ips,
                                 state_.settings.regions, now);
   ForgetCrashes(state_.crashes, now);
-  round.message.crashes = RecentCrashes(state_.crashes, now);
+  round.message.crashes = NoticesToTell(state_.crashes, now);
+  round.whole.crashes = round.message.crashes;
   Send(round.message, round.to_ips);
   if (!round.whole_to_ip.empty())
     Send(round.whole, {round.whole_to_ip});
@@ -217,10 +268,25 @@
 }
 
 void Gossip::Announce() {
-  const GossipRound round = UrgentRound(state_.members, state_.loop.Now());
+  const Time now = state_.loop.Now();
+  GossipRound round = UrgentRound(state_.members, now);
+  round.message.crashes = NoticesToTell(state_.crashes, now);
   Send(round.message, round.to_ips);
 }
 
+void Gossip::AnnounceSoon() {
+  if (announce_)
+    return;
+  const Time now = state_.loop.Now();
+  const Duration pause =
+      std::max(announced_ + kAnnouncePause - now, Duration(0));
+  announce_ = state_.loop.After(pause, [this] {
+    announced_ = state_.loop.Now();
+    announce_.reset();
+    Announce();
+  });
+}
+
 void Gossip::Send(const GossipMessage& message,
                   const std::vector<std::string>& to_ips) {
   const std::string bytes = EncodeGossip(message);
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -31,10 +31,14 @@
   void set_on_tick(std::function<void()> fn) { on_tick_ = std::move(fn); }
   // Tells all hosts of a change of this one.
   void Announce();
+  // As above, but calls that follow closely share one message.
+  void AnnounceSoon();
 
  private:
   void OnReadable();
   void OnTick();
+  void TakeCrashes(const GossipMessage& message);
+  void SendWhole(const std::string& ip);
   void Send(const GossipMessage& message,
             const std::vector<std::string>& to_ips);
   void UpdateAlive();
@@ -43,6 +47,8 @@
   Socket socket_;
   std::unique_ptr<Watch> readable_;
   std::unique_ptr<Watch> tick_;
+  std::unique_ptr<Watch> announce_;  // Set while AnnounceSoon() waits.
+  Time announced_;
   size_t alive_ = 1;
   std::function<void()> on_tick_;
 };
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -31,6 +31,17 @@
               {"own_long_slots", DemandedSlots(it.long_work, now)}};
 }
 
+Json DumpSuspect(const CrashBook& book,
+                 uint64_t request,
+                 const CrashRecord& it,
+                 Time now) {
+  return Json{{"request", request},
+              {"crashes", CountCrashes(book, request)},
+              {"epoch", it.epoch},
+              {"probes", it.probes},
+              {"returned_ms_ago", Millis(now - it.returned)}};
+}
+
 Json DumpMember(const Member& it, Time now) {
   return Json{{"id", it.notice.id},
               {"ip", it.notice.ip},
@@ -58,6 +69,12 @@
   for (const auto& [service, demand] : state.demands)
     json["reserves"].push_back(DumpReserve(service, demand, now));
   json["crash_records"] = state.crashes.by_request.size();
+  json["suspects"] = Json::array();
+  for (const auto& [request, record] : state.crashes.by_request) {
+    if (IsSuspect(state.crashes, request))
+      json["suspects"].push_back(
+          DumpSuspect(state.crashes, request, record, now));
+  }
   json["evacuated"] = Json::array();
   for (const ZoneId& it : state.endpoints.evacuated)
     json["evacuated"].push_back(it);
--- a/src/gateway/wire_types.h
+++ b/src/gateway/wire_types.h
@@ -19,6 +19,7 @@
   std::string path;          // Without query.
   std::string host;          // As in the Host field.
   std::string affinity_key;  // Names the object concerned; may be empty.
+  std::string caller;        // Credentials and cookies; may be empty.
   std::optional<Duration> time_limit;  // How long the caller waits.
   bool expects_continue = false;       // Waits for status 100 before its body.
   HttpFields forwarded;                // Fields that the endpoint gets as sent.
--- a/src/routing/crash_book.h
+++ b/src/routing/crash_book.h
@@ -1,10 +1,11 @@
-// Requests under which endpoints break.
+// Requests under which endpoints crash.
 //
 // Answers to: a request that crashes each endpoint that begins to run it, and
-// that comes again through any host. A host alone sees too few of the crashes,
-// and would send the request to another endpoint each time. So hosts tell each
-// other by gossip; once several endpoints have broken under a request and none
-// has answered it, no host sends it a second time.
+// that comes again and again through any host. Hosts tell each other by gossip
+// under which requests endpoints have broken. Once several have broken under a
+// request in a row, no host sends it any more, not even for the first time of
+// a return; one host may try it a few times later, in case the endpoints broke
+// for other reasons.
 #ifndef ROUTING_CRASH_BOOK_H_
 #define ROUTING_CRASH_BOOK_H_
 
@@ -15,59 +16,146 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/names_table.h"
 #include "base/time.h"
 
 namespace sassafras {
 
-// An endpoint's connection broke while it ran a request.
-struct CrashNotice {
-  uint64_t request = 0;   // See HashOfRequest().
-  uint32_t endpoint = 0;  // Tells endpoints and their starts apart.
+// What makes two requests the same, apart from the id of each.
+struct RequestTraits {
+  std::string_view method;
+  std::string_view host;
+  std::string_view target;  // Path with query.
+  std::string_view caller;  // What tells the caller apart; may be empty.
+  std::string_view body;    // Its beginning, the same length each time.
+};
+
+uint64_t HashOfRequest(const RequestTraits& request);
+
+// A send that ended with the endpoint's connection.
+struct CrashedSend {
+  Time sent;
+  Time broke;
 };
 
 struct CrashRecord {
-  std::map<uint32_t, Time> endpoints;  // When each crash was first heard of.
-  // An endpoint has answered the request: the crashes had other causes.
-  bool is_answered = false;
-  Time heard;  // Of the last new crash.
+  // By endpoint; starts of an endpoint are told apart.
+  std::map<uint32_t, CrashedSend> endpoints;
+  // Grows each time that the crashes so far are taken to have other causes.
+  uint32_t epoch = 0;
+  Time returned;           // When the request last came to any host.
+  Time news;               // When epoch or endpoints last changed.
+  int answers_in_row = 0;  // At this host, since the last crash.
+  size_t probes = 0;       // Of this host, in this epoch.
+  Time probed;             // The last of them.
 };
 
 struct CrashBook {
   std::unordered_map<uint64_t, CrashRecord> by_request;
 };
 
+// What a host tells others of one request. Hosts' clocks differ: times are
+// told as ages.
+struct CrashNotice {
+  struct Send {
+    uint32_t endpoint = 0;
+    Duration sent_age{};
+    Duration broke_age{};
+  };
+  uint64_t request = 0;
+  uint32_t epoch = 0;
+  Duration returned_age{};
+  std::vector<Send> sends;
+};
+
 // Endpoints that break under a request by chance: planned work and failures of
 // connections rarely hit one request on more.
 inline constexpr size_t kCrashesByChance = 2;
-// A request is remembered for this long after its last crash.
+// Sends that overlap for longer cannot have followed one another: what broke
+// them was a common failure. Covers the error of ages told by gossip.
+inline constexpr Duration kSendOverlap = std::chrono::milliseconds(150);
+// Crashes that raised no suspicion are remembered for this long.
 inline constexpr Duration kCrashLifetime = std::chrono::seconds(60);
+// A suspicion ends when the request has not come for this long.
+inline constexpr Duration kSuspicionLifetime = std::chrono::minutes(10);
+// Returns that other hosts tell of count as new only if later by this much, so
+// that the time on the way does not add up as hosts tell each other.
+inline constexpr Duration kReturnPrecision = std::chrono::seconds(1);
+// A suspect is held back for this long, twice as long after each failed probe.
+inline constexpr Duration kFirstHold = std::chrono::seconds(15);
+// The platform allows three sends beyond the third crash; one is left for a
+// host that has not heard of it yet.
+inline constexpr size_t kMostProbes = 2;
+// Answers in a row after which earlier crashes no longer count.
+inline constexpr int kAnswersToClear = 10;
 // Requests that are remembered; a lost zone breaks hundreds at once.
 inline constexpr size_t kMostCrashRecords = 2000;
-// Crashes are told for this long: rounds of gossip until the last host knows.
+inline constexpr size_t kMostEndpointsOfRecord = 16;
+// Crashes that raised no suspicion are told for this long: rounds of gossip
+// until the last host knows. Suspicions are told as long as they last.
 inline constexpr Duration kCrashNewsTime = std::chrono::seconds(3);
-// Notices in one message, of 14 bytes each.
+// Notices in one message, of about 60 bytes each.
 inline constexpr size_t kMostCrashNotices = 40;
 
-// What makes two requests the same, apart from their bodies.
-uint64_t HashOfRequest(std::string_view method,
-                       std::string_view host,
-                       std::string_view target);
+// Takes a crash that this host saw; false if it is known already.
+bool OnCrash(CrashBook& book,
+             uint64_t request,
+             uint32_t endpoint,
+             const CrashedSend& send,
+             Time now);
 
-// Takes a crash that this host saw or heard of; false if it is known already
-// or the book is full.
-bool OnCrash(CrashBook& book, const CrashNotice& notice, Time now);
+// An endpoint has answered the request, which was sent to it at `sent`. True
+// if that ends a suspicion.
+bool OnAnswered(CrashBook& book, uint64_t request, Time sent, Time now);
 
-// An endpoint has answered the request.
-void OnAnswered(CrashBook& book, uint64_t request);
-
-// Different endpoints that broke under the request without an answer ever.
+// Endpoints that broke under the request one after the other, and that are not
+// explained by another request with more of them.
 size_t CountCrashes(const CrashBook& book, uint64_t request);
 
-// Whether a second try would most likely cost another endpoint.
+// Whether a send would most likely cost another endpoint.
 bool IsSuspect(const CrashBook& book, uint64_t request);
 
+enum class ReturnVerdict {
+  kSend,   // Not suspect.
+  kProbe,  // Suspect; this host may try it once.
+  kHold,   // Suspect; not to be sent.
+};
+
+template <>
+struct NamesTable<ReturnVerdict> {
+  static constexpr EnumName<ReturnVerdict> kNames[] = {
+      {ReturnVerdict::kSend, "send"},
+      {ReturnVerdict::kProbe, "probe"},
+      {ReturnVerdict::kHold, "hold"},
+  };
+};
+
+struct ReturnDecision {
+  ReturnVerdict verdict = ReturnVerdict::kSend;
+  size_t crashes = 0;
+  Duration last_crash_age{};
+  Duration hold{};  // How long it is held back yet; with kHold.
+};
+
+// Decides on a request that has come. `is_prober`: this host is the one that
+// may try this request; see IsProber().
+ReturnDecision OnReturn(CrashBook& book,
+                        uint64_t request,
+                        bool is_prober,
+                        Time now);
+
+// The one host of all that may try a suspect. `knows_hosts`: this host has run
+// for long enough to have heard of the others.
+bool IsProber(uint64_t request,
+              uint64_t own_hash,
+              const std::vector<uint64_t>& host_hashes,
+              bool knows_hosts);
+
 // What to tell other hosts; requests with the most crashes come first.
-std::vector<CrashNotice> RecentCrashes(const CrashBook& book, Time now);
+std::vector<CrashNotice> NoticesToTell(const CrashBook& book, Time now);
+
+// Takes what another host tells; true if the request becomes suspect by it.
+bool OnCrashNotice(CrashBook& book, const CrashNotice& notice, Time now);
 
 void ForgetCrashes(CrashBook& book, Time now);
 
--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -166,9 +166,12 @@
                     Time now) {
   GossipNews news;
   if (!message.notices.empty()) {
-    const HostId& sender = message.notices.front().id;
+    const HostNotice& sender = message.notices.front();
+    const auto known = members.others.find(sender.id);
     news.is_sender_new =
-        sender != members.self.id && members.others.count(sender) == 0;
+        sender.id != members.self.id &&
+        (known == members.others.end() ||
+         known->second.notice.incarnation < sender.incarnation);
   }
   for (const HostNotice& it : message.notices) {
     if (it.id == members.self.id)
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -115,7 +115,7 @@
   std::vector<BeatNotice> beats;
   // The sender's own, of services that it has demand for.
   std::vector<DemandNotice> demands;
-  std::vector<CrashNotice> crashes;
+  std::vector<CrashNotice> crashes;  // See NoticesToTell().
 };
 
 // What one round sends, and to which IP numbers.
@@ -140,7 +140,8 @@
 // What a message taught.
 struct GossipNews {
   std::vector<HostId> back;  // Hosts that were unknown or silent.
-  // The sender was unknown: it should get all notices whole.
+  // The sender was unknown or has started anew: it should get all notices
+  // whole.
   bool is_sender_new = false;
 };
 
