Take an answer that names no request as nobody's

What callers saw: 503 for a read and a charge that an endpoint had run, after they had run at a second endpoint as well (REFUSED, TWICE).

Cause: TakeAnswerHead read past answers that name another request, but took one that names none as this request's. An endpoint that writes a refusal again without its id was believed. Class: what an outside party writes is trusted beyond the request that it concerns.

Fix: an answer counts only if it names this request; any other is read past and logged. Ruled out by a test beside it: a request that was refused is not sent to the same endpoint again, so the id does tell a refusal from the one before it.

Evidence: RefusalWrittenAgainConcernsNoOtherRequest failed before (503, two runs each for GET and POST) and passes.

--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -90,12 +90,15 @@
     return true;
   }
   t.answer = platform::DecodeAnswer(head);
-  if (!t.answer.request_id.empty() && t.answer.request_id != request_.id) {
+  // Endpoints name the request in each answer. One that names none may be a
+  // copy of what was said of an earlier request of the connection.
+  if (t.answer.request_id != request_.id) {
     t.skips = true;
     state_.metrics.Count("gateway_foreign_answers_total", "");
     LogLine(LogLevel::kWarning, "request", "Another request's answer arrived.")
         .With("id", request_.id)
-        .With("other", t.answer.request_id)
+        .With("other", t.answer.request_id.empty() ? "-" : t.answer.request_id)
+        .With("status", t.answer.status)
         .With("endpoint", t.endpoint->record.id);
     return true;
   }
@@ -105,8 +108,7 @@
     OnReport(*t.endpoint, {t.answer.load->running, t.answer.load->waiting,
                            t.answer.load->slots, state_.loop.Now()});
   }
-  const bool is_proper = t.answer.is_signed && !t.answer.request_id.empty() &&
-                         !t.answer.is_encoded;
+  const bool is_proper = t.answer.is_signed && !t.answer.is_encoded;
   // Handed on, it would promise the caller what nobody has proved.
   const bool is_unproven =
       t.answer.promises_not_run && !t.answer.proves_not_run;
