Leave out what is odd in an entry, not the list that it stands in

Cause: bodies of the store are parsed as one text by a parser that refuses all of it for one number, and entries are copied and printed by recursion. Numbers were cast without bounds (undefined out of range; arm64 and x86-64 differ).

--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -81,6 +81,8 @@
   // With a list: more objects follow behind the last one. Not set in what
   // Store::List() returns.
   bool has_more = false;
+  // With a list: the name of the last object, also of one that cannot be read.
+  std::string last_name;
 };
 
 // The document in a store object of `kind`; nothing if it is malformed. The
