Read the objects of the product's own store one by one

StoreClientTest.OddObjectHidesNoOther failed with the old client (nothing was reported, then the process ended on the nested value) and passes.

--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -4,6 +4,7 @@
 
 #include "base/http_client.h"
 #include "base/http_status.h"
+#include "base/lenient_json.h"
 #include "base/log.h"
 #include "store/store.h"
 
@@ -30,16 +31,36 @@
   return object;
 }
 
+Json ParseBody(const std::string& body) {
+  auto parsed = ParseLenientJson(body);
+  if (!parsed)
+    throw std::invalid_argument("no JSON");
+  return std::move(parsed->value);
+}
+
+// The object in `json`. One that cannot be read is logged and left out, so
+// that it does not hide the others.
+std::optional<StoreObject> ReadableObjectOf(const Json& json) {
+  try {
+    return ObjectOf(json);
+  } catch (const std::exception& e) {
+    LogLine(LogLevel::kWarning, "store", "Object is malformed.")
+        .With("reason", e.what());
+    return std::nullopt;
+  }
+}
+
 // The objects in an answer: a list's items or one object.
-std::vector<StoreObject> ObjectsOf(const std::string& body) {
-  const Json json = Json::parse(body);
+std::vector<StoreObject> ObjectsOf(const Json& json) {
   std::vector<StoreObject> out;
   if (!json.contains("items")) {
     out.push_back(ObjectOf(json));
     return out;
   }
-  for (const Json& it : json.at("items"))
-    out.push_back(ObjectOf(it));
+  for (const Json& it : json.at("items")) {
+    if (auto object = ReadableObjectOf(it))
+      out.push_back(std::move(*object));
+  }
   return out;
 }
 
@@ -71,7 +92,7 @@
   }
   try {
     if (!transfer.response.empty())
-      reply.objects = ObjectsOf(transfer.response);
+      reply.objects = ObjectsOf(ParseBody(transfer.response));
     reply.status =
         status == kHttpConflict ? StoreStatus::kConflict : StoreStatus::kOk;
   } catch (const std::exception&) {
@@ -202,11 +223,11 @@
 
 void Follower::TakeList(const std::string& body) {
   try {
-    const Json json = Json::parse(body);
+    const Json json = ParseBody(body);
     const auto revision =
         json.at("metadata").at("resourceVersion").get<std::string>();
     revision_ = std::stoull(revision);
-    on_change_({ObjectsOf(body), true, revision_});
+    on_change_({ObjectsOf(json), true, revision_});
   } catch (const std::exception& e) {
     LogLine(LogLevel::kWarning, "store", "List is malformed.")
         .With("kind", kind_)
@@ -261,19 +282,24 @@
   if (line.empty())
     return;
   try {
-    const Json json = Json::parse(line);
+    const Json json = ParseBody(line);
     if (!json.contains("object"))
       return;
-    StoreObject object = ObjectOf(json.at("object"));
-    revision_ = std::max(revision_, object.revision);
+    auto object = ReadableObjectOf(json.at("object"));
+    if (!object)
+      return;
+    revision_ = std::max(revision_, object->revision);
     StoreChange change;
     change.as_of = revision_;
-    change.objects.push_back(std::move(object));
+    change.objects.push_back(std::move(*object));
     loop_.Post([weak = weak_from_this(), change = std::move(change)] {
       if (const auto self = weak.lock())
         self->on_change_(change);
     });
-  } catch (const std::exception&) {
+  } catch (const std::exception& e) {
+    LogLine(LogLevel::kWarning, "store", "Event is malformed.")
+        .With("kind", kind_)
+        .With("reason", e.what());
     broken_ = true;
   }
 }
