Let requests that crash endpoints come again in the soak

The soak's endpoints end under such a request, with all their connections, and are back after a second; it comes to any host again until calm, while hosts are killed, frozen and cut off. Counted are sends of hosts that ran freely for the stable window.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -31,7 +31,12 @@
 constexpr milliseconds kDrain{2500};
 // A stand-in endpoint that leaves serves on for a little longer than that.
 constexpr milliseconds kServesOn{3200};
+// Sends of a request that crashes endpoints, later than the stable window after
+// its third crash.
+constexpr size_t kMostLateSends = 3;
 constexpr const char* kService = "rondas";
+// In the path of requests that crash endpoints.
+constexpr const char* kCrashMark = "crash";
 
 enum class Fault {
   kStop,
@@ -47,16 +52,18 @@
   kCutFromStore,
   kHarmEndpoint,
   kMisbehave,
+  kCrash,
 };
 
 constexpr int kPlannedFaults = static_cast<int>(Fault::kEvacuate) + 1;
-constexpr int kAllFaults = static_cast<int>(Fault::kMisbehave) + 1;
+constexpr int kAllFaults = static_cast<int>(Fault::kCrash) + 1;
 
 struct SoakEndpoint {
   PlatformStandinEndpoint* standin = nullptr;
   std::unique_ptr<FaultProxy> proxy;
   std::string id;
   std::string zone;
+  std::string listen;  // Address of the proxy.
   bool has_left = false;
   Time left;
   int arrivals_when_drained = 0;
@@ -68,6 +75,7 @@
   bool is_ending = false;  // It was told to end.
   bool is_frozen = false;
   bool takes_callers = true;
+  std::vector<Time> disturbed;  // When its process started or was frozen.
 };
 
 class SoakRun {
@@ -97,6 +105,7 @@
 
   void Start();
   void AddEndpoint();
+  void Register(const SoakEndpoint& endpoint);
   void Send();
   void Poll();
   void Harm();
@@ -113,10 +122,12 @@
   void CutFromStore(int host);
   void HarmEndpoint();
   void Misbehave();
+  void StartCrashing();
   void Heal();
   void CheckCalm();
   bool AnswersAsConfigured(int host);
   int StatusOf(int host, const std::string& path);
+  void CheckCrashing(const std::string& path);
   void CheckAll();
 
   SoakOptions options_;
@@ -127,6 +138,8 @@
   std::map<int, SoakHost> hosts_;
   std::vector<SoakEndpoint> endpoints_;
   std::vector<std::unique_ptr<Watch>> timers_;
+  // Requests that crash endpoints, by their path, while they come again.
+  std::map<std::string, std::unique_ptr<Watch>> crashing_;
   std::unique_ptr<Watch> send_;
   std::unique_ptr<Watch> poll_;
   int version_ = 0;
@@ -167,16 +180,29 @@
   it.standin->set_work(PickTime(5, 60));
   it.id = "i-" + std::to_string(n);
   it.zone = kStandinZones[static_cast<size_t>(n) % kStandinZones.size()].zone;
-  nlohmann::json record = it.standin->Record(kService, it.zone);
+  const nlohmann::json record = it.standin->Record(kService, it.zone);
   const Address target =
       Address::Parse(record["address"].get<std::string>()).value();
   const Address listen{target.ip, kEndpointProxyPort};
   it.proxy = std::make_unique<FaultProxy>(loop(), listen, target);
-  record["address"] = listen.ToString();
-  world_.store().Put("servers", it.id, record);
+  it.listen = listen.ToString();
+  it.standin->set_crash_rule([](const HttpHead& head, const std::string&) {
+    return head.target.find(kCrashMark) != std::string::npos;
+  });
+  it.standin->set_on_restart([this, id = it.id] {
+    if (!EndpointOf(id).has_left)
+      Register(EndpointOf(id));
+  });
+  Register(it);
   endpoints_.push_back(std::move(it));
 }
 
+void SoakRun::Register(const SoakEndpoint& endpoint) {
+  nlohmann::json record = endpoint.standin->Record(kService, endpoint.zone);
+  record["address"] = endpoint.listen;
+  world_.store().Put("servers", endpoint.id, record);
+}
+
 void SoakRun::Start() {
   started_ = loop().Now();
   callers_ = std::make_unique<SoakCallers>(world_, random_);
@@ -229,6 +255,7 @@
     callers_->ForgetHost(host);
     world_.StartGateway(host);
     hosts_[host].is_ending = false;
+    hosts_[host].disturbed.push_back(loop().Now());
     // Callers ask the directory, which names hosts that are ready.
     Later(milliseconds(1500), [this, host] {
       hosts_[host].takes_callers = !hosts_[host].is_ending;
@@ -274,6 +301,7 @@
   Later(PickTime(200, 2500), [this, host] {
     world_.Signal(host, SIGCONT);
     hosts_[host].is_frozen = false;
+    hosts_[host].disturbed.push_back(loop().Now());
   });
 }
 
@@ -300,10 +328,7 @@
   if (is_told) {
     nlohmann::json record = it.standin->Record(kService, it.zone);
     record["state"] = "draining";
-    record["address"] =
-        Address{Address::Parse(record["address"].get<std::string>()).value().ip,
-                kEndpointProxyPort}
-            .ToString();
+    record["address"] = it.listen;
     world_.store().Put("servers", it.id, record);
   } else {
     world_.store().Delete("servers", it.id);
@@ -390,6 +415,18 @@
   Later(PickTime(300, 2000), [it] { it->set_act(StandinAct::kAnswer); });
 }
 
+// The same request comes again and again, through any host, until calm.
+void SoakRun::StartCrashing() {
+  const std::string path = (Pick(2) == 0 ? "/read/" : "/charge/") +
+                           (kCrashMark + std::to_string(crashing_.size()));
+  Note(path + " begins to crash endpoints");
+  crashing_[path] = loop().Every(PickTime(150, 500), [this, path] {
+    const int host = PickHost();
+    if (hosts_[host].takes_callers)
+      callers_->SendAgain(host, path);
+  });
+}
+
 void SoakRun::BreakSomething() {
   const int kinds = IsPlannedOnly() ? kPlannedFaults : kAllFaults;
   const int host = PickHost();
@@ -420,6 +457,8 @@
       return HarmEndpoint();
     case Fault::kMisbehave:
       return Misbehave();
+    case Fault::kCrash:
+      return StartCrashing();
   }
 }
 
@@ -442,6 +481,8 @@
   });
   if (!is_back)
     Violate("a host is not back after the faults");
+  for (auto& [path, timer] : crashing_)
+    timer.reset();
   Note("calm");
   Wait(kStableWindow);
 }
@@ -491,6 +532,39 @@
   }
 }
 
+void SoakRun::CheckCrashing(const std::string& path) {
+  std::vector<const PlatformStandinEndpoint::Run*> runs;
+  for (const SoakEndpoint& endpoint : endpoints_) {
+    for (const auto& run : endpoint.standin->runs()) {
+      if (run.head.target == path)
+        runs.push_back(&run);
+    }
+  }
+  constexpr size_t kThird = 2;
+  if (runs.size() <= kThird)
+    return;
+  std::sort(runs.begin(), runs.end(),
+            [](const auto* a, const auto* b) { return a->begun < b->begun; });
+  const Time from = runs[kThird]->begun + kStableWindow;
+  size_t n = 0;
+  std::string hosts;
+  for (const auto* run : runs) {
+    const SoakRequest& request = *callers_->requests().at(run->request_id);
+    const SoakHost& host = hosts_[request.host];
+    const bool is_disturbed =
+        std::any_of(host.disturbed.begin(), host.disturbed.end(), [&](Time at) {
+          return at <= run->begun && run->begun < at + kStableWindow;
+        });
+    if (run->begun <= from || is_disturbed)
+      continue;
+    ++n;
+    hosts += " " + std::to_string(request.host);
+  }
+  if (n > kMostLateSends)
+    Violate(path + " was sent " + std::to_string(n) +
+            " times after its third crash, by hosts" + hosts);
+}
+
 // What holds at all times, from what callers and endpoints have seen.
 void SoakRun::CheckAll() {
   std::map<std::string, int> runs;
@@ -506,6 +580,8 @@
         Violate("unasked run of " + run.request_id + " at " + endpoint.id);
     }
   }
+  for (const auto& [path, timer] : crashing_)
+    CheckCrashing(path);
   for (const auto& [id, it] : requests) {
     ++report_.requests;
     const bool is_refused =
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -39,23 +39,33 @@
 }
 
 void SoakCallers::Send(int host, const std::string& path) {
-  const std::string n = std::to_string(++next_id_);
+  const uint64_t n = next_id_ + 1;
+  SendRequest(host, path + std::to_string(n), std::to_string(n % kObjects));
+}
+
+void SoakCallers::SendAgain(int host, const std::string& path) {
+  SendRequest(host, path, "again");
+}
+
+void SoakCallers::SendRequest(int host,
+                              const std::string& path,
+                              const std::string& object) {
   auto request = std::make_shared<SoakRequest>();
-  request->id = "q" + n;
-  request->path = path + n;
+  request->id = "q" + std::to_string(++next_id_);
+  request->path = path;
   request->host = host;
-  request->may_repeat = path != "/charge/" && path != "/upload/";
+  const bool is_upload = path.rfind("/upload/", 0) == 0;
+  request->may_repeat = !is_upload && path.rfind("/charge/", 0) != 0;
   request->sent = world_.loop().Now();
   if (!request->may_repeat)
-    request->body.assign(path == "/upload/" ? 40000 : 20, 'b');
+    request->body.assign(is_upload ? 40000 : 20, 'b');
   Connection& connection = ConnectionTo(host);
   request->is_behind = !connection.pending.empty();
   connection.pending.push_back(request);
   requests_[request->id] = request;
   connection.caller->Send(RequestText(
       request->may_repeat ? "GET" : "POST", request->path, request->id,
-      "Cookie: Affinity-Key=" + std::to_string(next_id_ % kObjects) + "\r\n",
-      request->body));
+      "Cookie: Affinity-Key=" + object + "\r\n", request->body));
   MaybeLeave(connection);
 }
 
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -36,6 +36,8 @@
 
   // Sends one request to `host`, at times pipelined behind others.
   void Send(int host, const std::string& path);
+  // Sends the request of `path` once more, alike but for its id.
+  void SendAgain(int host, const std::string& path);
   // Takes what has arrived; what must not be goes to `violations`.
   void Take(std::vector<std::string>& violations);
   // The connections of a process that is gone must be new ones from now on.
@@ -55,6 +57,9 @@
   };
 
   Connection& ConnectionTo(int host);
+  void SendRequest(int host,
+                   const std::string& path,
+                   const std::string& object);
   void TakeAnswers(Connection& connection,
                    std::vector<std::string>& violations);
   void MaybeLeave(Connection& connection);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -311,7 +311,7 @@
     });
     return;
   }
-  runs_.push_back({request_id, head, body});
+  runs_.push_back({request_id, head, body, loop_.Now()});
   if (crash_rule_ && crash_rule_(head, body)) {
     // On a later turn: the connection's own handler is running.
     loop_.Post([this] { Crash(); });
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -129,6 +129,7 @@
     std::string request_id;
     HttpHead head;
     std::string body;
+    Time begun;
   };
   // Requests that it ran, in order.
   const std::vector<Run>& runs() const { return runs_; }
