An endpoint's own failure does not end a suspicion

It may fail a request before it begins to run it, as endpoints do that fail a part of their requests. Read in the code, not seen: an own 5xx answered a suspect and voided its crashes. OnlyAnAnswerShowsThatARequestRunsSafely states the rule.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -418,7 +418,7 @@
 }
 
 void GatewayExchange::NoteCrash(const Try& ended, TryOutcome outcome) {
-  if (outcome == TryOutcome::kAnswered || outcome == TryOutcome::kFailed) {
+  if (ShowsSafeRun(outcome)) {
     NoteAnswer(ended);
     return;
   }
--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -62,6 +62,10 @@
   return !end.may_have_run || MayRepeat(end.kind);
 }
 
+bool ShowsSafeRun(TryOutcome outcome) {
+  return outcome == TryOutcome::kAnswered;
+}
+
 int RefusalStatus(bool may_have_run) {
   return may_have_run ? kHttpBadGateway : kHttpUnavailable;
 }
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -103,6 +103,10 @@
 // allowance.
 bool IsRetryUseful(const TryState& end);
 
+// Whether a try that ended so shows that the request does not crash what runs
+// it. An endpoint's own failure may come before it begins.
+bool ShowsSafeRun(TryOutcome outcome);
+
 // Status of an answer by which a host turns a request away. Some statuses
 // promise that the request has not run, which a try may have made untrue.
 int RefusalStatus(bool may_have_run);
--- a/tests/routing/attempt_test.cc
+++ b/tests/routing/attempt_test.cc
@@ -197,5 +197,13 @@
   EXPECT_EQ(DecideNext(end, true), NextStep::kTryAgain);
 }
 
+TEST(AttemptTest, OnlyAnAnswerShowsThatARequestRunsSafely) {
+  EXPECT_TRUE(ShowsSafeRun(TryOutcome::kAnswered));
+  for (const TryOutcome it :
+       {TryOutcome::kFailed, TryOutcome::kNotRun, TryOutcome::kNotSent,
+        TryOutcome::kBroken, TryOutcome::kBadAnswer, TryOutcome::kTimedOut})
+    EXPECT_FALSE(ShowsSafeRun(it)) << NameOf(it);
+}
+
 }  // namespace
 }  // namespace sassafras
