Let hosts that follow the store hear relays as well

Cause: following the store and following relays excluded each other. Class: one source of news without a second one beside it. Fix: relays follow each other beside the store, as do hosts that follow it for another reason; positions are the store's revisions, so that nothing is taken twice. Whether the registry can be trusted, such a host goes on judging itself.

Evidence: HostThatLosesTheStoreHearsTheOthers failed for both relays of four hosts (no new route within 2 s of a silent store) and passes, as does RelaysFollowEachOtherBesideTheStore.

--- a/src/gateway/belief_feed.cc
+++ b/src/gateway/belief_feed.cc
@@ -81,10 +81,11 @@
   const FeedSource before = choice_.source;
   if (UpdateFeedChoice(choice_, input, now)) {
     LogChoice();
-    if (choice_.source != before)
+    if (choice_.source != before) {
       follows_.clear();
-    if (choice_.source == FeedSource::kStore)
-      FollowStore();
+      if (choice_.source == FeedSource::kStore)
+        FollowStore();
+    }
   }
   const BeliefFollow known = PositionsOf(table_);
   for (const auto& [relay, heard] : choice_.relays)
@@ -159,7 +160,9 @@
   const Time now = state_.loop.Now();
   OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
                std::chrono::milliseconds(push.doubt_ms), now);
-  ExtendDoubt(state_.endpoints, CommonDoubt(choice_, now), now);
+  // A host that follows the store knows itself whether it answers.
+  if (choice_.source == FeedSource::kRelays)
+    ExtendDoubt(state_.endpoints, CommonDoubt(choice_, now), now);
   Take(ApplyPush(table_, push));
 }
 
--- a/src/routing/relay_choice.cc
+++ b/src/routing/relay_choice.cc
@@ -80,13 +80,6 @@
   return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-bool ChooseStore(FeedChoice& choice) {
-  const bool changed = choice.source != FeedSource::kStore;
-  choice.source = FeedSource::kStore;
-  choice.relays.clear();
-  return changed;
-}
-
 // Leaves relays that have fallen silent; true if none of them is heard.
 bool DropSilent(FeedChoice& choice, Time now) {
   bool is_any_heard = false;
@@ -102,12 +95,14 @@
   return !is_any_heard;
 }
 
-bool ChooseRelays(FeedChoice& choice,
-                  const std::vector<HostId>& relays,
-                  Time now) {
-  bool changed = choice.source != FeedSource::kRelays ||
-                 choice.relays.size() != relays.size();
-  choice.source = FeedSource::kRelays;
+// True if the choice changes.
+bool Choose(FeedChoice& choice,
+            FeedSource source,
+            const std::vector<HostId>& relays,
+            Time now) {
+  bool changed =
+      choice.source != source || choice.relays.size() != relays.size();
+  choice.source = source;
   std::map<HostId, FollowedRelay> chosen;
   for (const HostId& it : relays) {
     const auto known = choice.relays.find(it);
@@ -155,17 +150,23 @@
     return false;
   const bool had_relays = choice.source == FeedSource::kRelays;
   const bool is_cut_off = had_relays && DropSilent(choice, now);
-  const auto relays = FindRelays(input, choice, now);
-  const bool is_relay = Contains(relays, input.members->self.id);
+  auto relays = FindRelays(input, choice, now);
+  const auto self =
+      std::find(relays.begin(), relays.end(), input.members->self.id);
+  const bool is_relay = self != relays.end();
+  if (is_relay)
+    relays.erase(self);
   if (is_alone || is_cut_off || is_relay || relays.empty() ||
-      input.has_followers) {
+      input.has_followers)
     choice.store_needed = now;
-    return ChooseStore(choice);
-  }
-  if (choice.source == FeedSource::kStore &&
-      now - choice.store_needed < kStoreStay)
-    return false;
-  return ChooseRelays(choice, relays, now);
+  // A host that follows the store hears relays as well: the store may answer
+  // this host late and others in time.
+  const bool stays = choice.source == FeedSource::kStore &&
+                     now - choice.store_needed < kStoreStay;
+  const FeedSource source = choice.store_needed == now || stays
+                                ? FeedSource::kStore
+                                : FeedSource::kRelays;
+  return Choose(choice, source, relays, now);
 }
 
 void OnRelayHeard(FeedChoice& choice,
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -3,7 +3,8 @@
 // Answers to: the store's prices and rates. Relays are computed alike by all
 // hosts that see the same members; hosts that see others do no harm, they only
 // call the store more often. Every other host follows two relays at once, so
-// that one which is cut off or frozen delays nothing.
+// that one which is cut off or frozen delays nothing; relays follow each other
+// beside the store, for the same reason.
 #ifndef ROUTING_RELAY_CHOICE_H_
 #define ROUTING_RELAY_CHOICE_H_
 
@@ -49,7 +50,8 @@
 
 struct FeedChoice {
   FeedSource source = FeedSource::kNone;
-  std::map<HostId, FollowedRelay> relays;  // With kRelays.
+  // Beside the store, too.
+  std::map<HostId, FollowedRelay> relays;
   Time store_needed;  // When following the store was last necessary.
   std::map<HostId, Time> avoided;  // Relays that were left, and when.
 };
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -10,6 +10,7 @@
 
 #include "gateway/gateway_fixture.h"
 #include "platform/platform.h"
+#include "soak/fault_proxy.h"
 
 namespace sassafras {
 namespace {
@@ -519,6 +520,41 @@
   EXPECT_LE(world_.loop().Now() - back, kRecovery);
 }
 
+// A host that is cut off from the store learns of changes from the others in
+// time, whether it is a relay or not.
+TEST_F(GatewayTest, HostThatLosesTheStoreHearsTheOthers) {
+  constexpr int kHosts = 4;
+  constexpr uint16_t kProxyPort = 8150;
+  constexpr milliseconds kApplyTime{2000};  // The shortest of the sites.
+  world_.PutConfig(1);
+  endpoints_.push_back(&world_.AddEndpoint("rondas"));
+  std::vector<std::unique_ptr<FaultProxy>> proxies;
+  for (int i = 1; i <= kHosts; ++i) {
+    const Address listen = world_.HostAddress(i, kProxyPort);
+    proxies.push_back(std::make_unique<FaultProxy>(world_.loop(), listen,
+                                                   world_.StoreAddress()));
+    world_.SetStoreAddress(i, listen);
+    world_.StartGateway(i);
+  }
+  for (int i = 1; i <= kHosts; ++i)
+    ASSERT_TRUE(world_.WaitReady(i)) << i;
+  Wait(seconds(6));
+  for (int i = 1; i <= kHosts; ++i) {
+    SCOPED_TRACE(i);
+    FaultProxy& proxy = *proxies[static_cast<size_t>(i - 1)];
+    proxy.set_mode(ProxyMode::kSilent);
+    const std::string prefix = "/v" + std::to_string(i) + "/";
+    world_.PutConfig(1 + i, prefix);
+    address_ = world_.CallersOf(i);
+    EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+      return Status(RequestText("GET", prefix + "1", "k" + prefix)) == 200;
+    }));
+    proxy.set_mode(ProxyMode::kPass);
+    proxy.ResetAll();
+    Wait(seconds(3));
+  }
+}
+
 // Hosts that follow relays: one that is killed, frozen or restarted delays no
 // other, and a host that starts while the store is away learns from its peers.
 TEST_F(GatewayTest, HostsFollowRelaysThroughLosses) {
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -73,6 +73,23 @@
   EXPECT_EQ(at_store, static_cast<int>(kRelays));
 }
 
+// Seen on the grown akane site (hunt-e8ca-3): the store answered one relay too
+// late, which learnt of a configuration 3.7 s after its acknowledgement.
+TEST(RelayChoiceTest, RelaysFollowEachOtherBesideTheStore) {
+  const auto view = View(0, 18, kStart);
+  const auto relays = FindRelays({&view, &kRegions, false, kStart}, {}, kStart);
+  for (int i = 0; i < 18; ++i) {
+    const HostMembers members = View(i, 18, kStart);
+    FeedChoice choice;
+    UpdateFeedChoice(choice, {&members, &kRegions, false, kStart}, kStart);
+    const bool is_relay = choice.source == FeedSource::kStore;
+    EXPECT_EQ(choice.relays.size(), is_relay ? kRelays - 1 : kRelays);
+    EXPECT_EQ(choice.relays.count(members.self.id), 0U);
+    for (const auto& [id, relay] : choice.relays)
+      EXPECT_NE(std::find(relays.begin(), relays.end(), id), relays.end());
+  }
+}
+
 // A host that is none of the relays, by name.
 int Follower() {
   const HostMembers members = View(0, 18, kStart);
