--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -10,11 +10,13 @@
 #include <cmath>
 #include <cstring>
 #include <limits>
+#include <stdexcept>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "base/lenient_json.h"
 #include "base/log.h"
 #include "gateway/reserves.h"
 
@@ -39,6 +41,15 @@
 // once.
 constexpr Duration kAnnouncePause = std::chrono::milliseconds(200);
 
+// The whole number at `i`; throws if it is of another type or out of range.
+template <typename T>
+T IntegerAt(const Json& items, size_t i) {
+  const auto n = ToInteger<T>(items.at(i));
+  if (!n)
+    throw std::out_of_range("item " + std::to_string(i) + " is out of range");
+  return *n;
+}
+
 // A notice as a list; the order of its items is the protocol's.
 Json ToItems(const HostNotice& it) {
   return Json::array({it.id.value(), it.ip, it.caller_port, it.zone.value(),
@@ -50,15 +61,15 @@
   HostNotice it;
   it.id = HostId(items.at(0).get<std::string>());
   it.ip = items.at(1).get<std::string>();
-  it.caller_port = items.at(2).get<uint16_t>();
+  it.caller_port = IntegerAt<uint16_t>(items, 2);
   it.zone = ZoneId(items.at(3).get<std::string>());
-  it.incarnation = items.at(4).get<uint64_t>();
-  it.beat = items.at(5).get<uint64_t>();
-  const int phase = items.at(6).get<int>();
+  it.incarnation = IntegerAt<uint64_t>(items, 4);
+  it.beat = IntegerAt<uint64_t>(items, 5);
+  const int phase = IntegerAt<int>(items, 6);
   it.phase = phase >= 0 && phase <= static_cast<int>(HostPhase::kLeaving)
                  ? static_cast<HostPhase>(phase)
                  : HostPhase::kStarting;
-  it.config_version = items.at(7).get<uint64_t>();
+  it.config_version = IntegerAt<uint64_t>(items, 7);
   it.cpu_share = items.at(8).get<double>();
   it.reaches_store = items.at(9).get<bool>();
   return it;
@@ -77,14 +88,14 @@
 
 CrashNotice CrashFromItems(const Json& items) {
   const auto age = [&](size_t i) {
-    return std::chrono::milliseconds(items.at(i).get<uint32_t>());
+    return std::chrono::milliseconds(IntegerAt<uint32_t>(items, i));
   };
   CrashNotice it;
-  it.request = items.at(0).get<uint64_t>();
-  it.epoch = items.at(1).get<uint32_t>();
+  it.request = IntegerAt<uint64_t>(items, 0);
+  it.epoch = IntegerAt<uint32_t>(items, 1);
   it.returned_age = age(2);
   for (size_t i = 3; i + 2 < items.size(); i += 3)
-    it.sends.push_back({items[i].get<uint32_t>(), age(i + 1), age(i + 2)});
+    it.sends.push_back({IntegerAt<uint32_t>(items, i), age(i + 1), age(i + 2)});
   return it;
 }
 
@@ -143,7 +154,7 @@
   };
   try {
     const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-    if (json.at(0).get<int>() != kProtocolVersion)
+    if (IntegerAt<int>(json, 0) != kProtocolVersion)
       return fail("another protocol version");
     GossipMessage out;
     for (const Json& it : json.at(1))
@@ -151,14 +162,15 @@
     const Json& beats = json.at(2);
     for (size_t i = 0; i + 1 < beats.size(); i += 2) {
       out.beats.push_back(
-          {beats[i].get<uint32_t>(), beats[i + 1].get<uint64_t>()});
+          {IntegerAt<uint32_t>(beats, i), IntegerAt<uint64_t>(beats, i + 1)});
     }
     // Hosts of the release before send no demand.
     const Json demands = json.size() > 3 ? json[3] : Json::array();
     for (size_t i = 0; i + 2 < demands.size(); i += 3) {
-      out.demands.push_back({demands[i].get<uint32_t>(),
-                             FromThousandths(demands[i + 1].get<uint32_t>()),
-                             FromThousandths(demands[i + 2].get<uint32_t>())});
+      out.demands.push_back(
+          {IntegerAt<uint32_t>(demands, i),
+           FromThousandths(IntegerAt<uint32_t>(demands, i + 1)),
+           FromThousandths(IntegerAt<uint32_t>(demands, i + 2))});
     }
     // Nor do they tell of crashes, or did so as pairs in the item before.
     const Json crashes = json.size() > 5 ? json[5] : Json::array();
