--- a/tests/gateway/foreign_bytes_test.cc
+++ b/tests/gateway/foreign_bytes_test.cc
@@ -36,18 +36,19 @@
   return text.replace(begin, end - begin, value) + "}";
 }
 
+std::string NestedObjects(size_t depth) {
+  std::string text;
+  for (size_t i = 0; i < depth; ++i)
+    text += R"({"a":)";
+  return text + "1" + std::string(depth, '}');
+}
+
 std::vector<OddEntry> OddEntries() {
   constexpr size_t kDepth = 100'000;
   return {
       {"deep", Record("more", std::string(kDepth, '[') + "1" +
                                   std::string(kDepth, ']'))},
-      {"deep objects",
-       [] {
-         std::string text = "1";
-         for (int i = 0; i < 20'000; ++i)
-           text = "{\"a\":" + text + "}";
-         return text;
-       }()},
+      {"deep objects", NestedObjects(20'000)},
       {"large real", Record("more", "1e999")},
       {"large slots", Record("slots", "1e999")},
       {"slots out of range", Record("slots", "-1e300")},
