--- a/tests/routing/crash_book_test.cc
+++ b/tests/routing/crash_book_test.cc
@@ -258,6 +258,27 @@
   EXPECT_FALSE(IsSuspect(other, kRequest));
 }
 
+// The third crash may come with gossip, so that no host saw all three.
+TEST(CrashBookTest, WitnessAnnouncesWhatBecomesSuspectByGossip) {
+  CrashBook teller;
+  Crash(teller, kRequest, 2);
+  const auto notices = NoticesToTell(teller, kStart);
+  ASSERT_EQ(notices.size(), 1U);
+  CrashBook witness;
+  OnCrash(witness, kRequest, 9, SendAt(kStart), kStart);
+  const NoticeNews news = OnCrashNotice(witness, notices[0], kStart);
+  EXPECT_TRUE(news.is_suspect);
+  EXPECT_TRUE(news.must_announce);
+  EXPECT_FALSE(OnCrashNotice(witness, notices[0], kStart).must_announce);
+  CrashBook other;
+  EXPECT_FALSE(OnCrashNotice(other, notices[0], kStart).is_suspect);
+  const auto all = NoticesToTell(witness, kStart);
+  ASSERT_EQ(all.size(), 1U);
+  EXPECT_TRUE(OnCrashNotice(other, all[0], kStart).is_suspect);
+  CrashBook stranger;
+  EXPECT_FALSE(OnCrashNotice(stranger, all[0], kStart).must_announce);
+}
+
 // Hosts that tell each other of a suspicion do not keep it alive.
 TEST(CrashBookTest, SuspicionEndsOnAllHostsWhenTheRequestStaysAway) {
   constexpr Duration kOnTheWay = milliseconds(40);
--- a/tests/routing/host_members_test.cc
+++ b/tests/routing/host_members_test.cc
@@ -249,5 +249,25 @@
   EXPECT_EQ(FindHosts(view, {RegionId("x"), ZoneId("x")}, kStart).size(), 4U);
 }
 
+// It has forgotten what it was told before, such as suspicions.
+TEST(HostMembersTest, HostThatStartsAnewIsToldEverything) {
+  HostMembers members;
+  members.self.id = HostId("a");
+  HostNotice sender;
+  sender.id = HostId("b");
+  const auto is_new = [&](uint64_t incarnation, uint64_t beat) {
+    sender.incarnation = incarnation;
+    sender.beat = beat;
+    GossipMessage message;
+    message.notices = {sender};
+    return OnGossip(members, message, kStart).is_sender_new;
+  };
+  EXPECT_TRUE(is_new(1, 5));
+  EXPECT_FALSE(is_new(1, 6));
+  EXPECT_TRUE(is_new(2, 1));
+  EXPECT_FALSE(is_new(2, 2));
+  EXPECT_FALSE(is_new(1, 7));
+}
+
 }  // namespace
 }  // namespace sassafras
