Repeat downloads like other idempotent requests

Cause: the route type "download" was unknown, counted as non-idempotent and was never repeated, although the platform says that downloads are idempotent. Change: a route kind of its own. Its bodies count as large until its mean size is known, so that it stays in the region of its callers.

--- a/src/routing/body_sizes.cc
+++ b/src/routing/body_sizes.cc
@@ -22,7 +22,8 @@
 bool HasLargeBodies(const BodySizes& sizes, const RequestRoute& route) {
   const auto it = sizes.find(route.name);
   if (it == sizes.end())
-    return route.kind == RouteKind::kUpload;
+    return route.kind == RouteKind::kUpload ||
+           route.kind == RouteKind::kDownload;
   return it->second.bytes >= kMinLargeBodyBytes;
 }
 
--- a/src/routing/body_sizes.h
+++ b/src/routing/body_sizes.h
@@ -30,7 +30,7 @@
 void OnBodySize(BodySizes& sizes, const std::string& route, uint64_t bytes);
 
 // Whether the bodies of the route's requests are large on average. A route that
-// has not been seen yet has large bodies if it is an upload route.
+// has not been seen yet has large bodies if it is an upload or download route.
 bool HasLargeBodies(const BodySizes& sizes, const RequestRoute& route);
 
 }  // namespace sassafras
--- a/src/routing/steering_config.h
+++ b/src/routing/steering_config.h
@@ -19,6 +19,7 @@
   kIdempotent,     // May run more than once.
   kNonIdempotent,  // Runs at most once per attempt of the caller.
   kUpload,         // As kNonIdempotent, with a large body.
+  kDownload,       // As kIdempotent, with a large answer.
 };
 
 template <>
@@ -27,11 +28,12 @@
       {RouteKind::kIdempotent, "idempotent"},
       {RouteKind::kNonIdempotent, "non_idempotent"},
       {RouteKind::kUpload, "upload"},
+      {RouteKind::kDownload, "download"},
   };
 };
 
 constexpr bool MayRepeat(RouteKind kind) {
-  return kind == RouteKind::kIdempotent;
+  return kind == RouteKind::kIdempotent || kind == RouteKind::kDownload;
 }
 
 // A service's share of a route's requests.
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -177,6 +177,18 @@
   EXPECT_DOUBLE_EQ(split->traffic_shares[1].weight, 10);
 }
 
+TEST(PlatformObjectsTest, DecodesDownloadRoutesAsRepeatable) {
+  std::string text = kConfigJson;
+  text.replace(text.find("upload"), 6, "download");
+  std::string error;
+  const SteeringConfig config = DecodeConfigText(text, error);
+  ASSERT_EQ(error, "");
+  const RequestRoute* route = FindRoute(config, "h.example", "/x/y/1");
+  ASSERT_TRUE(route);
+  EXPECT_EQ(route->kind, RouteKind::kDownload);
+  EXPECT_TRUE(MayRepeat(route->kind));
+}
+
 TEST(PlatformObjectsTest, DoesNotRepeatRequestsOfUnknownRouteType) {
   std::string text = kConfigJson;
   text.replace(text.find("upload"), 6, "stream");
--- a/tests/routing/attempt_test.cc
+++ b/tests/routing/attempt_test.cc
@@ -27,6 +27,7 @@
   constexpr auto kIdem = RouteKind::kIdempotent;
   constexpr auto kOnce = RouteKind::kNonIdempotent;
   constexpr auto kUpload = RouteKind::kUpload;
+  constexpr auto kDownload = RouteKind::kDownload;
   const std::vector<Case> cases = {
       {"answer", TryOutcome::kAnswered, kOnce, true, true, NextStep::kDeliver},
       {"not run, may retry", TryOutcome::kNotRun, kOnce, false, true,
@@ -41,6 +42,8 @@
        NextStep::kFail},
       {"broken upload", TryOutcome::kBroken, kUpload, true, true,
        NextStep::kFail},
+      {"broken download", TryOutcome::kBroken, kDownload, true, true,
+       NextStep::kTryAgain},
       {"broken idempotent request, no retry left", TryOutcome::kBroken, kIdem,
        true, false, NextStep::kFail},
       {"invalid answer to a non-idempotent request", TryOutcome::kBadAnswer,
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -369,7 +369,8 @@
     const std::shared_ptr<Connection>& connection,
     const std::string& id) {
   Stream& stream = *connection->stream;
-  const std::string body = "answer to " + id;
+  std::string body = "answer to " + id;
+  body.resize(std::max(body.size(), answer_bytes_), '.');
   HttpFields fields = {{"Request-Id", id},
                        {"Server-Seal", "seal-" + id},
                        {"Server-Load", "1,0,4"},
@@ -380,7 +381,8 @@
       stream.Close();
       return;
     case StandinBehavior::kTruncatedBody:
-      stream.Write(FormatAnswerHead(200, fields) + body.substr(0, 3));
+      stream.Write(FormatAnswerHead(200, fields) +
+                   body.substr(0, body.size() / 2));
       stream.CloseGracefully();
       return;
     case StandinBehavior::kTruncatedHead:
@@ -595,6 +597,7 @@
   add("/read/", "idempotent");
   add("/charge/", "non_idempotent");
   add("/upload/", "upload");
+  add("/download/", "download");
   // Requests with a longer target latency and a lower priority, which the
   // gateway treats as long work of the service.
   add("/archive/", "idempotent", 3.0, 2);
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -154,6 +154,8 @@
   void set_behavior(StandinBehavior behavior) { behavior_ = behavior; }
   // Time from the receipt of a request to its answer or refusal.
   void set_work_time(Duration work_time) { work_time_ = work_time; }
+  // Size in bytes to which the bodies of answers are padded; 0: no padding.
+  void set_answer_bytes(size_t n) { answer_bytes_ = n; }
   // Number of bytes of the head that kTruncatedHead and kTruncatedChunkedHead
   // send.
   void set_head_bytes_sent(size_t n) { head_bytes_sent_ = n; }
@@ -210,6 +212,7 @@
   int cancelled_ = 0;
   StandinBehavior behavior_ = StandinBehavior::kAnswer;
   Duration work_time_ = std::chrono::milliseconds(5);
+  size_t answer_bytes_ = 0;
 };
 
 // Stand-in for a caller: one connection to a gateway. Answers arrive in the
@@ -226,6 +229,13 @@
   const std::vector<Answer>& answers() const { return answers_; }
   bool is_closed() const { return closed_; }
   void Disconnect() { stream_->Close(); }
+  // Stops reading, as a caller on a slow link does.
+  void PauseReading() { stream_->SetReading(false); }
+  void ResumeReading() { stream_->SetReading(true); }
+  // Whether the end of the connection left an answer incomplete.
+  bool has_partial_answer() const {
+    return reader_->has_started() || !input_.empty();
+  }
 
  private:
   void OnData(std::string_view data);
@@ -259,7 +269,8 @@
   void Register(PlatformStandinEndpoint& endpoint, const std::string& service);
   // Writes a configuration whose routes all go to the service "rondas": /read/
   // and /archive/ (idempotent; /archive/ with a lower priority), /charge/ (not
-  // idempotent), /upload/, and `extra_prefix` (idempotent) if not empty.
+  // idempotent), /upload/, /download/, and `extra_prefix` (idempotent) if not
+  // empty.
   // `version` must grow with each call.
   void PutConfig(int version, const std::string& extra_prefix = "");
   // Starts gateway number `index`; returns the address for its callers.
