Refuse requests that a planned stop would cut

Cause: a stopping host took a request if twice the mean service time of its route was left. Change: routing/stop_policy decides. A request that may run only once starts only if its deadline comes before the exit; any other also if the mean plus four standard deviations of its service times does. The rest is refused at once as not run, with Retry-After 0 and Connection: close. Before the exit, what is still open gets a final answer: 504, or 503 if it was never sent. New connections end at five sixths of the grace, final answers go out at nine tenths and the process exits at nineteen twentieths; what waits to be accepted is accepted first.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -316,8 +316,17 @@
     Close(true);
 }
 
-void CallerConnection::CloseNow() {
-  Close(false);
+void CallerConnection::EndOpenRequests() {
+  const auto self = shared_from_this();
+  const std::deque<ExchangePtr> open = queue_;
+  for (const ExchangePtr& it : open) {
+    // Requests that have not begun count as not read.
+    if (it->has_begun())
+      it->OnHostExit();
+  }
+  // Nothing is left to wait for, unless a request is still being received.
+  if (!closing_)
+    Close(true);
 }
 
 }  // namespace sassafras
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -29,8 +29,8 @@
   void CloseIfTimedOut(Time now);
   // Closes the connection unless a request on it is unanswered.
   void CloseIfIdle();
-  // Closes at once; unanswered requests get no answer.
-  void CloseNow();
+  // The host is about to exit: answers the open requests and closes.
+  void EndOpenRequests();
 
   void Send(GatewayExchange& exchange, std::string bytes) override;
   void Finish(GatewayExchange& exchange) override;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -7,6 +7,7 @@
 #include "base/http_status.h"
 #include "base/log.h"
 #include "platform/platform.h"
+#include "routing/stop_policy.h"
 
 namespace sassafras {
 
@@ -36,7 +37,7 @@
 // long.
 constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(500);
 // Retry-After of a stopping host; the caller can go to another host at once.
-constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration kStoppingRetryAfter = Duration(0);
 
 // Whether an endpoint rejected a request because all its slots are in use. An
 // endpoint that reports free slots has rejected it for another reason.
@@ -97,16 +98,12 @@
     SendOwnAnswer(kHttpNotFound, "no_route", std::nullopt);
     return;
   }
-  if (state_.stopping &&
-      !CanFinishBeforeExit(state_.admission, *route_,
-                           state_.exit_at - state_.loop.Now())) {
-    Refuse("stopping", kStoppingRetryAfter);
-    return;
-  }
-  service_ = ChooseService(*route_, HashOfId());
   const Duration limit =
       std::min(request_.time_limit.value_or(route_->timeout), route_->timeout);
   deadline_ = arrived_ + limit;
+  if (RefuseIfStopping())
+    return;
+  service_ = ChooseService(*route_, HashOfId());
   OnRequest(state_.retries[service_], state_.settings.retry_bound,
             state_.loop.Now());
   RecordDemand();
@@ -154,6 +151,25 @@
   return true;
 }
 
+// Refuses a request that could be cut by the exit of this host. Returns whether
+// it was refused.
+bool GatewayExchange::RefuseIfStopping() {
+  if (!state_.stopping)
+    return false;
+  const Duration until_final = state_.final_answers_at - state_.loop.Now();
+  if (MayStartWhileStopping(state_.admission, *route_, TimeLeft(), until_final))
+    return false;
+  LogLine(LogLevel::kInfo, "request",
+          "Refused a request that may outlast this host's stop.")
+      .With("id", request_.id)
+      .With("kind", NameOf(route_->kind))
+      .With("left_ms", Millis(TimeLeft()))
+      .With("longest_ms", Millis(LongestServiceTime(state_.admission, *route_)))
+      .With("until_final_answers_ms", Millis(until_final));
+  Refuse("stopping", kStoppingRetryAfter);
+  return true;
+}
+
 // Counts the request into its service's demand. Stores the share of reserved
 // endpoints, so that all tries of the request use the same value.
 void GatewayExchange::RecordDemand() {
@@ -216,6 +232,8 @@
 // Chooses an endpoint and sends the request to it, or refuses the request if
 // none is available or can answer it in time.
 void GatewayExchange::TryNext() {
+  if (RefuseIfStopping())
+    return;
   const Time now = state_.loop.Now();
   PlacementRequest query;
   query.service = &service_;
@@ -657,6 +675,17 @@
     Refuse("timed_out", std::nullopt);
 }
 
+void GatewayExchange::OnHostExit() {
+  const auto self = shared_from_this();
+  if (finished_)
+    return;
+  if (try_) {
+    EndTry(try_->head_sent ? TryOutcome::kTimedOut : TryOutcome::kNotSent);
+    return;
+  }
+  Refuse("stopping", kStoppingRetryAfter);
+}
+
 void GatewayExchange::OnCallerGone() {
   if (finished_ || caller_gone_)
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,6 +63,9 @@
   // The connection ended before the answer was complete. Stops the work unless
   // the request is not idempotent and was sent completely.
   void OnCallerGone();
+  // The host is about to exit: ends the work and answers the caller, or
+  // truncates an answer that has begun.
+  void OnHostExit();
   // All buffered output was sent to the caller: resumes reading the endpoint's
   // answer.
   void OnCallerDrained();
@@ -110,6 +113,7 @@
   void RecordDemand();
   void StartTries();
   bool RefuseIfSuspect();
+  bool RefuseIfStopping();
   void TryNext();
   void Connect(const EndpointPtr& endpoint);
   void OnConnected();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,6 +16,7 @@
 #include "gateway/state_dump.h"
 #include "gateway/store_cache_feed.h"
 #include "platform/platform.h"
+#include "routing/stop_policy.h"
 
 namespace sassafras {
 
@@ -27,12 +28,6 @@
 
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
 constexpr Duration kSettingsCheckPeriod = std::chrono::seconds(2);
-// Both times are counted back from the end of stop_timeout, when the platform
-// sends SIGKILL. From kDrainTime before it, the process accepts no connections
-// and closes idle ones, while open requests go on. At kExitMargin before it,
-// the process exits even if requests are open.
-constexpr Duration kDrainTime = std::chrono::milliseconds(900);
-constexpr Duration kExitMargin = std::chrono::milliseconds(150);
 // How often the draining process closes idle connections and checks whether it
 // can exit.
 constexpr Duration kDrainPollPeriod = std::chrono::milliseconds(20);
@@ -284,19 +279,30 @@
     LogLine(LogLevel::kInfo, kPart, "Stopping.")
         .With("connections", connections_.size())
         .With("open", state_.open_exchanges);
-    const Duration stop = state_.settings.stop_timeout;
-    state_.exit_at = loop_.Now() + stop - kExitMargin;
-    drain_timer_ = loop_.After(stop - kDrainTime, [this] { BeginDrain(); });
-    exit_timer_ = loop_.After(stop - kExitMargin, [this] { loop_.Stop(); });
+    const StopSchedule stop = MakeStopSchedule(state_.settings.stop_timeout);
+    state_.final_answers_at = loop_.Now() + stop.final_answers;
+    drain_timer_ = loop_.After(stop.drain, [this] { BeginDrain(); });
+    final_answers_timer_ =
+        loop_.After(stop.final_answers, [this] { EndOpenRequests(); });
+    exit_timer_ = loop_.After(stop.exit, [this] { loop_.Stop(); });
   }
 
   void BeginDrain() {
+    // Connections that wait to be accepted would be reset.
+    Accept();
     accept_.reset();
     listener_.Close();
     CloseIdle();
     drain_poll_timer_ = loop_.Every(kDrainPollPeriod, [this] { CloseIdle(); });
   }
 
+  void EndOpenRequests() {
+    LogLine(LogLevel::kInfo, kPart, "Ending open requests.")
+        .With("connections", connections_.size())
+        .With("open", state_.open_exchanges);
+    ForEachConnection([](CallerConnection& it) { it.EndOpenRequests(); });
+  }
+
   void CloseIdle() {
     ForEachConnection([](CallerConnection& it) { it.CloseIfIdle(); });
     if (connections_.empty() && state_.open_exchanges == 0)
@@ -322,6 +328,7 @@
   std::unique_ptr<Watch> sighup_;
   std::unique_ptr<Watch> sigusr1_;
   std::unique_ptr<Watch> drain_timer_;
+  std::unique_ptr<Watch> final_answers_timer_;
   std::unique_ptr<Watch> exit_timer_;
   std::unique_ptr<Watch> drain_poll_timer_;
 };
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -52,8 +52,8 @@
   std::function<void()> announce = [] {};
   // Set after SIGTERM or SIGINT. Answers then close their connections.
   bool stopping = false;
-  // When a stopping process exits, even if requests are open.
-  Time exit_at;
+  // When a stopping process answers the requests that are still open.
+  Time final_answers_at;
   // Number of requests whose callers wait for an answer.
   size_t open_exchanges = 0;
 };
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -1,6 +1,7 @@
 #include "routing/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafras {
 
@@ -16,21 +17,20 @@
 // that refused callers do not all retry at once.
 constexpr double kRetryAfterJitter = 0.5;
 
-// CanFinishBeforeExit() allows a request this multiple of its route's mean
-// service time, because few answers take longer, plus a fixed margin.
-constexpr int kExitTimeFactor = 2;
-constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-// Mean service time that CanFinishBeforeExit() assumes for a route without
-// recorded times, as a multiple of the route's target latency. The route's
-// timeout is the upper limit.
-constexpr int kExitDefaultTimeFactor = 2;
+// Standard deviations above the mean that LongestServiceTime() allows, and the
+// fewest samples for which they are known.
+constexpr double kLongestTimeDeviations = 4;
+constexpr size_t kMinLongestTimeSamples = 10;
 
 void AddSample(MeanServiceTime& times, Duration time) {
   ++times.samples;
   const double weight = times.samples <= kArithmeticMeanSamples
                             ? 1.0 / static_cast<double>(times.samples)
                             : kSampleWeight;
-  times.mean_seconds += weight * (Seconds(time) - times.mean_seconds);
+  const double difference = Seconds(time) - times.mean_seconds;
+  times.mean_seconds += weight * difference;
+  times.variance =
+      (1.0 - weight) * (times.variance + weight * difference * difference);
 }
 
 template <typename Map, typename Key>
@@ -56,6 +56,15 @@
                                     : FromSeconds(it->second.mean_seconds);
 }
 
+Duration LongestServiceTime(const AdmissionState& state,
+                            const RequestRoute& route) {
+  const auto it = state.by_route.find(route.name);
+  if (it == state.by_route.end() || it->second.samples < kMinLongestTimeSamples)
+    return route.timeout;
+  return FromSeconds(it->second.mean_seconds +
+                     kLongestTimeDeviations * std::sqrt(it->second.variance));
+}
+
 AdmissionDecision Admit(const AdmissionState& state,
                         const AdmissionRequest& request) {
   AdmissionDecision decision;
@@ -73,18 +82,6 @@
   return decision;
 }
 
-bool CanFinishBeforeExit(const AdmissionState& state,
-                         const RequestRoute& route,
-                         Duration time_left) {
-  const auto it = state.by_route.find(route.name);
-  const Duration expected =
-      it == state.by_route.end()
-          ? std::min(route.target_latency * kExitDefaultTimeFactor,
-                     route.timeout)
-          : FromSeconds(it->second.mean_seconds);
-  return expected * kExitTimeFactor + kExitMargin <= time_left;
-}
-
 Duration RetryAfter(const AdmissionState& state,
                     const ServiceId& service,
                     double random) {
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -19,6 +19,7 @@
 // service.
 struct MeanServiceTime {
   double mean_seconds = 0;
+  double variance = 0;  // In seconds squared.
   size_t samples = 0;
 };
 
@@ -38,6 +39,12 @@
 Duration ExpectedServiceTime(const AdmissionState& state,
                              const RequestRoute& route);
 
+// Time within which nearly all requests of `route` are answered: the mean of
+// the recorded times plus a multiple of their standard deviation. The route's
+// timeout if too few are recorded.
+Duration LongestServiceTime(const AdmissionState& state,
+                            const RequestRoute& route);
+
 struct AdmissionRequest {
   const ServiceId* service = nullptr;
   const std::string* route = nullptr;
@@ -58,12 +65,6 @@
 AdmissionDecision Admit(const AdmissionState& state,
                         const AdmissionRequest& request);
 
-// Whether a request of `route` that arrives now is likely to be answered before
-// this host, which is shutting down, exits in `time_left`.
-bool CanFinishBeforeExit(const AdmissionState& state,
-                         const RequestRoute& route,
-                         Duration time_left);
-
 // Time after which a caller should retry a request to `service` that no
 // endpoint could take: 0.1 s to 2 s, plus up to half of that as jitter.
 // `random` in [0, 1) scales the jitter.
