Deliver complete answers to callers that read late

Cause: a connection that closes after its answer was dropped one second later, also with answer bytes unsent, and a stopping process exited while such connections were open, since it had already forgotten them. Change: the second counts from the last byte sent; a caller that accepts no data has 15 s. A connection counts as open until its answers are sent. CompleteAnswersReachSlowCallers fails on the code before and passes now.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -282,8 +282,14 @@
 void CallerConnection::Close(bool gracefully) {
   const auto self = shared_from_this();
   closing_ = true;
-  if (gracefully)
-    stream_->CloseGracefully();
+  const auto on_closed = [this, fn = std::exchange(on_closed_, nullptr)] {
+    if (fn)
+      fn(this);
+  };
+  // The process does not exit before the buffered answers are sent.
+  const bool lingers = gracefully && stream_->is_open();
+  if (lingers)
+    stream_->CloseGracefully(on_closed);
   else
     stream_->Close();
   reader_.reset();
@@ -291,8 +297,8 @@
   const std::deque<ExchangePtr> unanswered = std::exchange(queue_, {});
   for (const ExchangePtr& it : unanswered)
     it->OnCallerGone();
-  if (const auto on_closed = std::exchange(on_closed_, nullptr))
-    on_closed(this);
+  if (!lingers)
+    on_closed();
 }
 
 void CallerConnection::CloseIfTimedOut(Time now) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -19,7 +19,8 @@
  public:
   using OnClosed = std::function<void(CallerConnection*)>;
 
-  // `on_closed` is called once, when the connection ends.
+  // `on_closed` is called once, when the connection ends. If it is closed
+  // gracefully, that is after the last answer was sent.
   CallerConnection(GatewayState& state, Socket socket, OnClosed on_closed);
 
   void Start();
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -13,8 +13,11 @@
 constexpr size_t kReadBufferBytes = 32 << 10;
 // Reads per turn of the event loop, so that one connection cannot block it.
 constexpr int kMaxReadsPerTurn = 4;
-// How long CloseGracefully() waits for the peer to close its side.
+// How long CloseGracefully() waits for the peer to close its side, after all
+// data was sent.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+// How long CloseGracefully() waits for a peer that accepts no more data.
+constexpr Duration kMaxUnsentTime = std::chrono::seconds(15);
 
 bool IsTransient(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -143,6 +146,8 @@
     has_sent_ = true;
     send_offset_ += static_cast<size_t>(n);
   }
+  if (closing_)
+    RestartLinger();
   if (pending() > 0) {
     UpdateWatch();
     return;
@@ -181,19 +186,26 @@
   watch_.reset();
   linger_.reset();
   socket_.Close();
+  if (const auto on_closed = std::exchange(on_closed_, nullptr))
+    on_closed();
 }
 
-void Stream::CloseGracefully() {
+void Stream::CloseGracefully(std::function<void()> on_closed) {
   if (!socket_.valid() || closing_)
     return;
   closing_ = true;
   reading_ = true;
   handlers_ = {};
-  // The timer owns this stream until the peer closes or the time is up.
-  linger_ =
-      loop_.After(kLingerTime, [self = shared_from_this()] { self->Close(); });
+  on_closed_ = std::move(on_closed);
+  RestartLinger();
   if (connected_)
     Flush();
 }
 
+void Stream::RestartLinger() {
+  // The timer owns this stream until the peer closes or the time is up.
+  linger_ = loop_.After(pending() > 0 ? kMaxUnsentTime : kLingerTime,
+                        [self = shared_from_this()] { self->Close(); });
+}
+
 }  // namespace sassafras
--- a/src/gateway/stream.h
+++ b/src/gateway/stream.h
@@ -71,10 +71,10 @@
   // Closes at once; no handler is called afterwards.
   void Close();
   // Sends the buffered data, shuts down the sending side, and closes once the
-  // peer does so or after a timeout. Data received meanwhile is discarded:
-  // closing with unread data sends a reset, which can destroy the answer before
-  // the peer has read it.
-  void CloseGracefully();
+  // peer does so or after a timeout; `on_closed` is called then. Data received
+  // meanwhile is discarded: closing with unread data sends a reset, which can
+  // destroy the answer before the peer has read it.
+  void CloseGracefully(std::function<void()> on_closed = nullptr);
 
  private:
   void UpdateWatch();
@@ -82,6 +82,7 @@
   void OnConnectDone();
   void ReadSome();
   void Flush();
+  void RestartLinger();
   void End(StreamEnd end);
 
   Loop& loop_;
@@ -98,6 +99,7 @@
   bool watches_read_ = false;
   std::unique_ptr<sassafras::Watch> watch_;
   std::unique_ptr<sassafras::Watch> linger_;
+  std::function<void()> on_closed_;  // See CloseGracefully().
 };
 
 }  // namespace sassafras
--- a/tests/gateway/download_test.cc
+++ b/tests/gateway/download_test.cc
@@ -1,6 +1,7 @@
 // Tests downloads: answers with large bodies, of requests that may be repeated.
 
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include "gateway/gateway_fixture.h"
 
@@ -74,6 +75,44 @@
   EXPECT_EQ(endpoints_[1]->runs().size(), 4U);
 }
 
+// A caller that reads late gets its whole answer, although the host has closed
+// the connection after it or stops meanwhile. With one of these sizes, the
+// buffers of the connection are full when the answer is complete at the host.
+TEST_F(GatewayTest, CompleteAnswersReachSlowCallers) {
+  constexpr size_t kCallers = 24;
+  constexpr size_t kStepBytes = 250'000;
+  // Longer than the host waits for a caller that has received everything.
+  constexpr milliseconds kPause{1300};
+  for (const bool stops : {false, true}) {
+    SCOPED_TRACE(stops);
+    if (stops)
+      world_.Signal(1, SIGKILL);
+    StartOne(4);
+    std::vector<std::unique_ptr<PlatformStandinCaller>> callers;
+    for (size_t i = 0; i < kCallers; ++i) {
+      for (PlatformStandinEndpoint* it : endpoints_)
+        it->set_answer_bytes((i + 1) * kStepBytes);
+      const std::string id = (stops ? "s" : "c") + std::to_string(i);
+      callers.push_back(Connect());
+      callers.back()->PauseReading();
+      callers.back()->Send(
+          RequestText("GET", "/download/" + id, id, "Connection: close\r\n"));
+      Wait(milliseconds(15));
+    }
+    if (stops)
+      world_.Signal(1, SIGTERM);
+    Wait(kPause);
+    for (const auto& it : callers)
+      it->ResumeReading();
+    for (size_t i = 0; i < kCallers; ++i) {
+      ASSERT_TRUE(WaitAnswers(*callers[i], 1)) << i;
+      EXPECT_EQ(callers[i]->answers()[0].head.status, 200);
+      EXPECT_EQ(callers[i]->answers()[0].body.size(), (i + 1) * kStepBytes);
+    }
+  }
+  EXPECT_TRUE(world_.WaitEnd(1, seconds(3)));
+}
+
 // Callers that do not read a large answer hold a bounded part of it in memory,
 // and requests of other callers are answered meanwhile.
 TEST_F(GatewayTest, UnreadDownloadsHoldBoundedMemory) {
