Keep the log buffer until the last flush at exit

Cause: the buffer was a static object created after FlushLog() was registered with atexit(), so it was destroyed first, and the last lines of a process were read from freed memory. Change: the buffer is never destroyed. LastLogLineOfAStopIsWhole fails on the code before and passes now.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -28,8 +28,9 @@
   uint64_t reported_dropped = 0;
 };
 
+// Never destroyed: FlushLog() runs at exit, after static objects are gone.
 LogBuffer& Buffer() {
-  static LogBuffer buffer;
+  static LogBuffer& buffer = *new LogBuffer;
   return buffer;
 }
 
--- a/tests/gateway/stop_test.cc
+++ b/tests/gateway/stop_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <fstream>
+#include <regex>
 #include <set>
 
 #include "gateway/gateway_fixture.h"
@@ -217,6 +219,20 @@
   EXPECT_EQ(CountRuns(), before);
 }
 
+// Guards against lines that were written at the exit from a destroyed buffer.
+TEST_F(GatewayTest, LastLogLineOfAStopIsWhole) {
+  StartOne();
+  world_.Signal(1, SIGTERM);
+  ASSERT_TRUE(world_.WaitEnd(1, kStopTimeout));
+  std::ifstream log(world_.LogPathOf(1));
+  std::string last;
+  for (std::string line; std::getline(log, line);)
+    last = line;
+  EXPECT_TRUE(std::regex_match(
+      last, std::regex("[0-9T:.-]+ INFO \\[gateway\\] Stopped\\. open=0")))
+      << last;
+}
+
 TEST_F(GatewayTest, ProcessExitsBeforeTheStopTimeout) {
   struct Case {
     const char* name;
