Choose hosts with large capacity as relays

The log shows that all 147 hosts learnt late that the endpoint was gone: the median 2.6 s after the store had acknowledged it. A zone was lost and endpoints were scaled in at that moment. The relays, chosen by hash alone, were hosts with 0.07 of a core and 10 Mbit/s: sending 64 records to 146 hosts takes such a link about two seconds, the followers dropped the relay after 1.3 s, and the next one, as small, began again. Ruled out: the processor share of the host that sent the request (others of its size had the change in 0.2 s), the store (first relay 0.23 s after the change). Change: hosts with at least half of the largest CPU share and bandwidth are relays as long as any of them reaches the store; hosts tell their bandwidth with their notices. A change is encoded once for all followers at the same position. RelaysSendChangesOfAZoneToAllHostsInTime and LargeHostsAreRelaysAsLongAsAny- ReachesTheStore test the decision with 150 and 147 hosts.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -70,6 +70,7 @@
     self.zone = settings.zone;
     self.incarnation = UnixMillis();
     self.cpu_share = settings.cpu_share;
+    self.link_mbps = settings.link_mbps;
     state_.members.random.seed(state_.random());
     state_.placement.own_region = settings.region;
     // Assumes that callers are spread evenly over the availability zones.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -33,7 +33,8 @@
   std::vector<std::string> seed_ips;  // Hosts that gossip starts with.
   Address store_address;
 
-  double cpu_share = 1.0;  // Of a core.
+  double cpu_share = 1.0;     // Of a core.
+  double link_mbps = 1000.0;  // Of the host's own network link.
   uint64_t max_sockets = 1024;
   uint64_t memory_bytes = 256ULL << 20;
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -57,7 +57,8 @@
 Json ToJsonArray(const HostNotice& it) {
   return Json::array({it.id.value(), it.ip, it.caller_port, it.zone.value(),
                       it.incarnation, it.heartbeat, static_cast<int>(it.phase),
-                      it.config_version, it.cpu_share, it.reaches_store});
+                      it.config_version, it.cpu_share, it.reaches_store,
+                      it.link_mbps});
 }
 
 HostNotice ParseHostNotice(const Json& items) {
@@ -75,6 +76,9 @@
   it.config_version = IntegerAt<uint64_t>(items, 7);
   it.cpu_share = items.at(8).get<double>();
   it.reaches_store = items.at(9).get<bool>();
+  // Hosts that run an earlier release send no bandwidth.
+  if (items.size() > 10)
+    it.link_mbps = items.at(10).get<double>();
   return it;
 }
 
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -154,8 +154,8 @@
 // round. Until then it sends what its cache holds, together with its age.
 void StoreCacheFeed::OnFollowMessage(const HostId& from,
                                      const CacheFollow& follow) {
-  Push(from, OnFollow(followers_, table_, from, follow, UnreliableFor(),
-                      state_.loop.Now()));
+  Push({from}, OnFollow(followers_, table_, from, follow, UnreliableFor(),
+                        state_.loop.Now()));
 }
 
 void StoreCacheFeed::OnPush(const HostId& from, const CachePush& push) {
@@ -184,10 +184,10 @@
   on_self_changed_();
 }
 
-void StoreCacheFeed::Push(const HostId& to, CachePush push) {
+void StoreCacheFeed::Push(const std::vector<HostId>& to, CachePush push) {
   push.store_age_ms = static_cast<uint64_t>(
       std::max<int64_t>(Millis(state_.loop.Now() - last_store_answer_), 0));
-  mesh_->Send(to, push);
+  mesh_->SendToAll(to, push);
 }
 
 Duration StoreCacheFeed::UnreliableFor() const {
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -60,7 +60,7 @@
   // How long a lapsed or removed endpoint record still does not prove that the
   // endpoint left; not positive if it does.
   Duration UnreliableFor() const;
-  void Push(const HostId& to, CachePush push);
+  void Push(const std::vector<HostId>& to, CachePush push);
   void OnTick();
   void ReadHosts();
   void WriteOwnHost();
--- a/src/peers/mesh.cc
+++ b/src/peers/mesh.cc
@@ -217,12 +217,19 @@
   }
 
   void Send(const HostId& to, const Message& message) override {
-    std::shared_ptr<Link>& link = links_[to];
-    if (!link)
-      link = std::make_shared<Link>(*this, to);
-    std::string frame = EncodeMessage(message);
-    bytes_sent_ += frame.size();
-    link->Send(std::move(frame));
+    SendToAll({to}, message);
+  }
+
+  void SendToAll(const std::vector<HostId>& to,
+                 const Message& message) override {
+    const std::string frame = EncodeMessage(message);
+    for (const HostId& it : to) {
+      std::shared_ptr<Link>& link = links_[it];
+      if (!link)
+        link = std::make_shared<Link>(*this, it);
+      bytes_sent_ += frame.size();
+      link->Send(frame);
+    }
   }
 
   size_t ConnectedCount() const override {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/address.h"
 #include "base/error.h"
@@ -49,6 +50,9 @@
   // it if the address of the peer is unknown, during the delay after a failed
   // connection, or if too many bytes are waiting.
   virtual void Send(const HostId& to, const Message& message) = 0;
+  // As Send() to each of the peers, but encodes the message once.
+  virtual void SendToAll(const std::vector<HostId>& to,
+                         const Message& message) = 0;
   // Number of peers with an open connection from this process.
   virtual size_t ConnectedCount() const = 0;
   // Bytes of encoded messages since the start, without the framing. BytesSent()
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -50,8 +50,10 @@
   // Whether the store answered the host's last call. Stays true for a host that
   // makes no calls.
   bool reaches_store = true;
-  // CPU share of the host, in cores; a weight for the callers that it gets.
+  // CPU share of the host, in cores.
   double cpu_share = 0;
+  // Bandwidth of the host's network link; 0 if unknown.
+  double link_mbps = 0;
 };
 
 // Work that a host is asked for on one service, as the number of endpoint slots
--- a/src/routing/relay_choice.cc
+++ b/src/routing/relay_choice.cc
@@ -11,11 +11,35 @@
 
 constexpr std::string_view kTopic = "relay";
 
+// Hosts with at least this share of the largest host's CPU share and bandwidth
+// are preferred as relays.
+constexpr double kMinRelayCapacityShare = 0.5;
+
 struct Candidate {
   uint64_t rank = 0;
   const HostNotice* notice = nullptr;
+  bool is_large = true;  // Of the preferred capacity.
 };
 
+void MarkLargeHosts(std::vector<Candidate>& candidates) {
+  double max_cpu = 0;
+  double max_link = 0;
+  for (const Candidate& it : candidates) {
+    max_cpu = std::max(max_cpu, it.notice->cpu_share);
+    max_link = std::max(max_link, it.notice->link_mbps);
+  }
+  for (Candidate& it : candidates) {
+    it.is_large = it.notice->cpu_share >= kMinRelayCapacityShare * max_cpu &&
+                  it.notice->link_mbps >= kMinRelayCapacityShare * max_link;
+  }
+  // The widest links may belong to other hosts than the largest CPU shares.
+  const bool has_large =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [](const Candidate& it) { return it.is_large; });
+  for (Candidate& it : candidates)
+    it.is_large = it.is_large || !has_large;
+}
+
 bool IsAvoided(const FeedChoice& choice, const HostId& host, Time now) {
   const auto it = choice.avoided.find(host);
   return it != choice.avoided.end() && now - it->second < kRelayAvoidanceTime;
@@ -69,6 +93,7 @@
   std::sort(out.begin(), out.end(), [](const Candidate& a, const Candidate& b) {
     return a.rank > b.rank;
   });
+  MarkLargeHosts(out);
   return out;
 }
 
@@ -130,18 +155,21 @@
   const size_t wanted = RelaysToFollow(choice, now);
   std::vector<HostId> relays;
   std::vector<RegionId> used_regions;
-  // The second pass adds hosts from regions that already have a relay.
-  for (const bool any_region : {false, true}) {
+  const auto add = [&](bool is_large, bool any_region) {
     for (const Candidate& it : ranked) {
       const RegionId region = RegionOf(*input.regions, it.notice->zone);
       if (relays.size() >= wanted)
-        return relays;
-      if (Contains(relays, it.notice->id) ||
+        return;
+      if (it.is_large != is_large || Contains(relays, it.notice->id) ||
           (Contains(used_regions, region) && !any_region))
         continue;
       relays.push_back(it.notice->id);
       used_regions.push_back(region);
     }
+  };
+  for (const bool is_large : {true, false}) {
+    for (const bool any_region : {false, true})
+      add(is_large, any_region);
   }
   return relays;
 }
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -2,11 +2,13 @@
 // hosts that follow the store for the others.
 //
 // Keeps the number of calls to the store small, since it charges for them and
-// limits their rate. All hosts with the same view of the members compute the
-// same relays; hosts with another view only call the store more often. Every
-// other host follows two relays at once, so that one that is disconnected or
-// frozen causes no delay. For the same reason, relays follow each other in
-// addition to the store.
+// limits their rate. A relay sends each change to every other host, which takes
+// seconds on a host with a small CPU share or a slow link if many objects
+// change at once; so the hosts with the largest capacity are chosen. All hosts
+// with the same view of the members compute the same relays; hosts with another
+// view only call the store more often. Every other host follows two relays at
+// once, so that one that is disconnected or frozen causes no delay. For the
+// same reason, relays follow each other in addition to the store.
 #ifndef ROUTING_RELAY_CHOICE_H_
 #define ROUTING_RELAY_CHOICE_H_
 
@@ -68,11 +70,12 @@
   Time started;                // When this process started.
 };
 
-// Chooses the relays among the live hosts that are not avoided, in different
-// regions if possible. Candidates are the hosts that are ready and reach the
-// store; if there are none, those that are ready; if there are none either, as
-// at the start of the deployment, all that are not leaving. Returns more than
-// kRelayCount relays if several were dropped recently. May include this host.
+// Chooses the relays among the live hosts that are not avoided: those of large
+// capacity first, in different regions if possible. Candidates are the hosts
+// that are ready and reach the store; if there are none, those that are ready;
+// if there are none either, as at the start of the deployment, all that are not
+// leaving. Returns more than kRelayCount relays if several were dropped
+// recently. May include this host.
 std::vector<HostId> FindRelays(const FeedInput& input,
                                const FeedChoice& choice,
                                Time now);
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -265,6 +265,7 @@
                                      Duration unreliable_for,
                                      Time now) {
   std::vector<AddressedPush> out;
+  std::map<std::vector<uint64_t>, size_t> index_by_positions;
   const CacheFollow own = PositionsOf(cache);
   for (auto it = followers.begin(); it != followers.end();) {
     CacheFollower& follower = it->second;
@@ -272,7 +273,14 @@
       it = followers.erase(it);
       continue;
     }
-    out.push_back({it->first, MakePush(cache, follower.sent, unreliable_for)});
+    std::vector<uint64_t> positions;
+    for (const CachePosition& position : own.positions)
+      positions.push_back(PositionOf(follower.sent, position.kind));
+    const auto [group, is_new] =
+        index_by_positions.try_emplace(std::move(positions), out.size());
+    if (is_new)
+      out.push_back({{}, MakePush(cache, follower.sent, unreliable_for)});
+    out[group->second].to.push_back(it->first);
     follower.sent = MaxPositions(own, follower.sent);
     ++it;
   }
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -106,12 +106,12 @@
 bool HasFollowers(const CacheFollowers& followers, Time now);
 
 struct AddressedPush {
-  HostId to;
+  std::vector<HostId> to;
   CachePush push;
 };
 
-// Returns the pushes to send after a change, and drops followers that have
-// timed out.
+// Returns the pushes to send after a change, one for all followers that have
+// the same positions, and drops followers that have timed out.
 std::vector<AddressedPush> PushToAll(CacheFollowers& followers,
                                      const StoreCache& cache,
                                      Duration unreliable_for,
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -3,8 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
+#include "peers/peers.h"
+#include "routing/store_cache.h"
+
 namespace sassafras {
 namespace {
 
@@ -73,6 +77,93 @@
   EXPECT_EQ(at_store, static_cast<int>(kRelayCount));
 }
 
+// Most hosts are small; every tenth one is large.
+HostMembers ViewOfMixedHosts(int self, int n) {
+  HostMembers members = View(self, n, kStart);
+  const auto set_capacity = [](HostNotice& it) {
+    const bool is_large = it.id.value().back() == '0';
+    it.cpu_share = is_large ? 0.5 : 0.07;
+    it.link_mbps = is_large ? 200 : 10;
+  };
+  set_capacity(members.self);
+  for (auto& [id, member] : members.others)
+    set_capacity(member.notice);
+  return members;
+}
+
+const HostNotice& NoticeOf(const HostMembers& members, const HostId& id) {
+  return id == members.self.id ? members.self : members.others.at(id).notice;
+}
+
+TEST(RelayChoiceTest, LargeHostsAreRelaysAsLongAsAnyReachesTheStore) {
+  struct Case {
+    const char* name;
+    std::function<void(HostNotice&)> change_large_host;
+    bool is_large;
+  };
+  const std::vector<Case> cases = {
+      {"all reach the store", [](HostNotice&) {}, true},
+      {"one large host reaches the store",
+       [](HostNotice& it) { it.reaches_store = it.id == HostId("h40"); }, true},
+      {"no large host reaches the store",
+       [](HostNotice& it) { it.reaches_store = false; }, false},
+      {"all large hosts leave",
+       [](HostNotice& it) { it.phase = HostPhase::kLeaving; }, false},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    HostMembers members = ViewOfMixedHosts(1, 147);
+    for (auto& [id, member] : members.others) {
+      if (member.notice.cpu_share > 0.1)
+        it.change_large_host(member.notice);
+    }
+    const FeedInput input{&members, &kRegions, false, kStart};
+    const auto relays = FindRelays(input, {}, kStart);
+    ASSERT_EQ(relays.size(), kRelayCount);
+    EXPECT_EQ(NoticeOf(members, relays[0]).cpu_share > 0.1, it.is_large);
+    EXPECT_NE(kRegions.at(NoticeOf(members, relays[0]).zone),
+              kRegions.at(NoticeOf(members, relays[1]).zone));
+  }
+}
+
+// One zone's endpoints are lost while others start to drain. Every host must
+// know within a third of the shortest time after which an endpoint may get no
+// new requests, so that the relays' own processing and a lost push fit into the
+// rest.
+TEST(RelayChoiceTest, RelaysSendChangesOfAZoneToAllHostsInTime) {
+  constexpr int kHosts = 150;
+  constexpr int kEndpoints = 264;
+  constexpr int kChanges = 64;
+  constexpr double kMaxSeconds = 2.0 / 3;
+  constexpr char kRecord[] =
+      R"({"service":"s","address":"10.0.0.1:8000","zone":"erongo-a",)"
+      R"("version":"v1","slots":6,"state":"draining","cold-remaining-s":0.0,)"
+      R"("sequence":1000,"born":1234567890123})";
+  const HostMembers members = ViewOfMixedHosts(1, kHosts);
+  StoreCache cache = MakeStoreCache({"endpoints"});
+  StoreChange all{{}, true, 1};
+  for (int i = 0; i < kEndpoints; ++i)
+    all.objects.push_back(
+        {"endpoints", "i-0123456" + std::to_string(i), 1, kRecord});
+  ApplyStoreChange(cache, "endpoints", all);
+  const CacheFollow known = PositionsOf(cache);
+  StoreChange changes{{}, false, 2};
+  for (int i = 0; i < kChanges; ++i) {
+    changes.objects.push_back(all.objects[static_cast<size_t>(i)]);
+    changes.objects.back().revision = 2;
+  }
+  ApplyStoreChange(cache, "endpoints", changes);
+  const size_t bytes =
+      EncodeMessage(MakePush(cache, known, Duration(0))).size();
+  const FeedInput input{&members, &kRegions, false, kStart};
+  for (const HostId& it : FindRelays(input, {}, kStart)) {
+    const double bits_per_second = NoticeOf(members, it).link_mbps * 1e6;
+    EXPECT_LT(static_cast<double>(bytes) * 8 * kHosts / bits_per_second,
+              kMaxSeconds)
+        << it.value();
+  }
+}
+
 // Regression test: the store answered one relay late, and the relay received a
 // configuration 3.7 s after the store had acknowledged it.
 TEST(RelayChoiceTest, RelaysFollowEachOtherAndTheStore) {
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -60,6 +60,29 @@
   EXPECT_TRUE(IsComplete(host));
 }
 
+// A change is encoded once for all followers that know the same state.
+TEST(StoreCacheTest, FollowersAtTheSamePositionShareAPush) {
+  StoreCache relay = MakeStoreCache({"k"});
+  CacheFollowers followers;
+  ApplyStoreChange(relay, "k", List({{"k", "a", 5, "1"}}, 5));
+  for (int i = 0; i < 150; ++i) {
+    OnFollow(followers, relay, HostId("h" + std::to_string(i)),
+             PositionsOf(relay), Duration(0), kStart);
+  }
+  ApplyStoreChange(relay, "k", Change({"k", "a", 6, "2"}, 6));
+  auto pushes = PushToAll(followers, relay, Duration(0), kStart);
+  ASSERT_EQ(pushes.size(), 1U);
+  EXPECT_EQ(pushes[0].to.size(), 150U);
+  // A follower that has just started gets everything, the others the change.
+  OnFollow(followers, relay, HostId("h7"), {}, Duration(0), kStart);
+  followers[HostId("h7")].sent = {};
+  ApplyStoreChange(relay, "k", Change({"k", "b", 7, "3"}, 7));
+  pushes = PushToAll(followers, relay, Duration(0), kStart);
+  ASSERT_EQ(pushes.size(), 2U);
+  for (const AddressedPush& it : pushes)
+    EXPECT_EQ(it.push.items.size(), it.to.size() == 1 ? 2U : 1U);
+}
+
 TEST(StoreCacheTest, LostPushIsSentAgain) {
   StoreCache relay = MakeStoreCache({"k"});
   CacheFollowers followers;
