Limit the nesting of messages before they are decoded

Cause: the CBOR decoder recurses once for each level of nesting. DeeplyNestedMessagesAreErrors ended the optimised test process before and passes now.

--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -15,6 +15,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_depth.h"
 #include "base/hash.h"
 #include "base/lenient_json.h"
 #include "base/log.h"
@@ -160,6 +161,8 @@
     return leaf::new_error(
         Error{ErrorCode::kBadInput, "decode gossip", "host", reason});
   };
+  if (!IsCborWithinDepth(bytes, kMaxCborDepth))
+    return fail("malformed or nested too deeply");
   try {
     const Json json = Json::from_cbor(bytes.begin(), bytes.end());
     if (IntegerAt<int>(json, 0) != kProtocolVersion)
--- a/src/peers/codec.cc
+++ b/src/peers/codec.cc
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_depth.h"
 #include "decisions/json_forms.h"
 #include "peers/peers.h"
 
@@ -49,6 +50,8 @@
 }
 
 Result<Message> DecodeMessage(std::string_view bytes) {
+  if (!IsCborWithinDepth(bytes, kMaxCborDepth))
+    return Malformed("malformed or nested too deeply");
   try {
     const Json json = Json::from_cbor(bytes.begin(), bytes.end());
     if (json.at(kVersionField).get<int>() != kPeerProtocolVersion)
--- a/tests/peers/fuzz_test.cc
+++ b/tests/peers/fuzz_test.cc
@@ -102,6 +102,19 @@
   EXPECT_LT(decoded, kRounds / 2);
 }
 
+// The decoder recurses once for each level of nesting.
+TEST(FuzzTest, DeeplyNestedMessagesAreErrors) {
+  for (const size_t depth : {size_t{1000}, size_t{1'000'000}}) {
+    const bool is_accepted = TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(DecodeMessage(std::string(depth, '\x81') + '\x01'));
+          return true;
+        },
+        [](const Error&) { return false; });
+    EXPECT_FALSE(is_accepted) << depth;
+  }
+}
+
 TEST(FuzzTest, MutatedSheetsNameTheirLine) {
   std::mt19937_64 random(20261204);
   const SettingsReadResult settings =
