Give each object two endpoints where hosts know little of queues

Change: where a service has 24 endpoints or more and the caches hold it, an object has two endpoints of its region; a host takes the less loaded one, or either. The number of objects is estimated from repeats among a host's requests.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -170,12 +170,20 @@
   return true;
 }
 
-// Counts the request into its service's demand. Stores the share of reserved
-// endpoints, so that all tries of the request use the same value.
+// Counts the request into its service's demand. Stores the inputs of its
+// placement, so that all tries of the request use the same values.
 void GatewayExchange::RecordDemand() {
   ServiceDemand& demand = state_.demands[service_];
   is_long_ = IsLongWork(*config_, service_, *route_);
   reserved_share_ = demand.reserved_share;
+  ObjectSample& objects =
+      is_long_ ? demand.long_objects : demand.urgent_objects;
+  if (!request_.affinity_key.empty() && route_->sticky)
+    OnObjectRequested(objects, HashText(request_.affinity_key));
+  // Callers of other regions, which this host does not serve, may request other
+  // objects.
+  objects_ = EstimateObjects(objects) *
+             static_cast<double>(state_.placement.caller_shares.size());
   OnDemand(demand, *route_, is_long_,
            ExpectedServiceTime(state_.admission, *route_), state_.loop.Now());
 }
@@ -243,6 +251,7 @@
   query.has_large_bodies = HasLargeBodies(state_.body_sizes, *route_);
   query.is_long = is_long_;
   query.reserved_share = reserved_share_;
+  query.objects = objects_;
   for (const EndpointPtr& it : tried_)
     query.tried.push_back(it.get());
   const Placement placement =
@@ -639,6 +648,7 @@
       .With("endpoint",
             tried_.empty() ? EndpointId("-") : tried_.back()->record.id)
       .With("load", placement_load_)
+      .With("objects", objects_)
       .With("rank", route_ ? route_->priority : -1)
       .With("placed_ms", since_arrival(first_placed_at_))
       .With("sent_ms", since_arrival(last_sent_at_))
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -163,6 +163,7 @@
   ServiceId service_;
   bool is_long_ = false;
   double reserved_share_ = 0;
+  double objects_ = 0;  // See PlacementRequest.
   Time arrived_;
   Time deadline_;
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "routing/object_spread.h"
 
 namespace sassafras {
 
@@ -164,6 +165,27 @@
       [&](const EndpointPtr& it) { return now < it->ejected_until; }));
 }
 
+double LoadPerSlot(const Candidate& candidate, Time now) {
+  const EndpointView& it = **candidate.endpoint;
+  return EstimatedLoad(it, now) / it.record.slots;
+}
+
+// Moves the less loaded one of the object's two own endpoints to the front. If
+// their loads are equal or unknown, `random` decides.
+void OrderOwnEndpoints(Candidates& candidates, uint64_t random, Time now) {
+  if (candidates.size() < 2)
+    return;
+  Candidate& first = candidates[0];
+  Candidate& second = candidates[1];
+  // An endpoint of another region or outside the reserve is none of its own.
+  if (first.region_score != second.region_score ||
+      first.is_preferred != second.is_preferred)
+    return;
+  const double difference = LoadPerSlot(second, now) - LoadPerSlot(first, now);
+  if (difference < 0 || (difference == 0 && random % 2 == 1))
+    std::swap(first, second);
+}
+
 // Takes the first candidate that has room. Long work only considers the first
 // candidate: under overload, any other endpoint would take several times as
 // long for an object that it does not have in its cache, and evict another one.
@@ -277,10 +299,13 @@
         FindCandidates(set, endpoints, none, context, request, true, now);
   if (candidates.empty())
     return {};
-  Placement placement =
-      request.affinity_key.empty() || !request.route->sticky
-          ? ChooseByLoad(candidates, now)
-          : ChooseByAffinity(candidates, request.is_long, now);
+  const bool has_object =
+      !request.affinity_key.empty() && request.route->sticky;
+  if (has_object && EndpointsPerObject(request.objects, preferred.size()) > 1)
+    OrderOwnEndpoints(candidates, request.random, now);
+  Placement placement = has_object
+                            ? ChooseByAffinity(candidates, request.is_long, now)
+                            : ChooseByLoad(candidates, now);
   const double slots = placement.endpoint->record.slots;
   if (placement.load >= slots * (1.0 + kMaxQueuePerSlot))
     return {nullptr, PlacementReason::kFull, placement.load};
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -55,6 +55,9 @@
   bool has_large_bodies = false;  // See HasLargeBodies().
   // Long work of a lower priority; see urgent_reserve.h.
   bool is_long = false;
+  // Estimated number of objects of the service's requests that are as long or
+  // as urgent as this one; see object_spread.h.
+  double objects = 0;
   // Share of the endpoints reserved for urgent requests, from 0 to 1.
   double reserved_share = 0;
   // Endpoints that this request was sent to before; they are excluded.
@@ -62,8 +65,8 @@
 };
 
 enum class PlacementReason {
-  kPreferred,    // The first candidate for the object.
-  kSpill,        // A later candidate, because the first has no room.
+  kPreferred,    // One of the object's own endpoints.
+  kSpill,        // A later candidate, because these have no room.
   kLeastLoaded,  // The candidate with the fewest requests per slot.
   kNoEndpoint,   // No endpoint is registered, usable and allowed.
   kFull,         // The chosen endpoint's queue is full.
--- a/src/routing/urgent_reserve.h
+++ b/src/routing/urgent_reserve.h
@@ -5,8 +5,9 @@
 // order of arrival, and a host knows too little about their queues to order the
 // requests itself. Long requests therefore avoid some endpoints of each region.
 // The size of this reserve follows the urgent demand, which hosts exchange by
-// gossip. All hosts rank the endpoints in the same order, so hosts with
-// different estimates of the demand differ only in the size of the reserve.
+// gossip. All hosts rank
+// the endpoints in the same order, so hosts with different estimates of the
+// demand differ only in the size of the reserve.
 //
 // Only services that FindLongRanks() splits into urgent and long work have a
 // reserve.
@@ -21,6 +22,7 @@
 #include "base/time.h"
 #include "routing/endpoint_set.h"
 #include "routing/host_members.h"
+#include "routing/object_spread.h"
 #include "routing/steering_config.h"
 
 namespace sassafras {
@@ -36,6 +38,8 @@
 struct ServiceDemand {
   RecentWork urgent;
   RecentWork long_work;
+  ObjectSample urgent_objects;
+  ObjectSample long_objects;
   // Share of the endpoints that is reserved now, from 0 to 1.
   double reserved_share = 0;
 };
--- a/tests/routing/placement_load_test.cc
+++ b/tests/routing/placement_load_test.cc
@@ -2,7 +2,9 @@
 // how many requests are answered, and how many within their target latency.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <deque>
+#include <limits>
 #include <list>
 #include <queue>
 #include <random>
@@ -37,12 +39,22 @@
   double rate = 0;  // Requests per second over all hosts.
 };
 
+// How requests are placed.
+enum class Policy {
+  kCurrent,
+  kOneEndpointPerObject,  // The former policy.
+  kPlainQueue,            // The least loaded of three, whatever the object.
+};
+
 struct Fleet {
   int hosts = 1;
   int endpoints = 1;
   int slots = 1;
   size_t queue = 1;
   size_t max_cached_objects = 1;
+  // Popularity of an object by its rank k: proportional to k^-skew.
+  double skew = 0;
+  Policy policy = Policy::kCurrent;
 };
 
 struct Arrival {
@@ -171,8 +183,7 @@
       arrival.kind = kind(random_);
       arrival.host = static_cast<int>(random_() % hosts_.size());
       arrival.object =
-          random_() % kinds_[arrival.kind].objects * kinds_.size() +
-          arrival.kind;
+          RandomObject(kinds_[arrival.kind]) * kinds_.size() + arrival.kind;
       arrival.at = now_;
       if (now_ >= count_from)
         ++out[arrival.kind].arrived;
@@ -183,6 +194,14 @@
   }
 
  private:
+  uint64_t RandomObject(const Kind& kind) {
+    if (fleet_.skew == 0)
+      return random_() % kind.objects;
+    const double part =
+        std::pow(UnitInterval(random_()), 1.0 / (1.0 - fleet_.skew));
+    return static_cast<uint64_t>(part * static_cast<double>(kind.objects));
+  }
+
   bool Arrive(Arrival arrival) {
     const std::string key = std::to_string(arrival.object);
     PlacementRequest request;
@@ -194,6 +213,15 @@
     OnDemand(demands_[host], *request.route, request.is_long,
              ExpectedServiceTime(admissions_[host], *request.route), now_);
     request.reserved_share = demands_[host].reserved_share;
+    request.random = random_();
+    ObjectSample& sample = request.is_long ? demands_[host].long_objects
+                                           : demands_[host].urgent_objects;
+    OnObjectRequested(sample, HashText(key));
+    request.objects = fleet_.policy == Policy::kOneEndpointPerObject
+                          ? std::numeric_limits<double>::infinity()
+                          : EstimateObjects(sample);
+    if (fleet_.policy == Policy::kPlainQueue)
+      request.affinity_key = {};
     const Placement placed = PlaceRequest(hosts_[host], {}, request, now_);
     if (!placed.endpoint)
       return false;
@@ -349,5 +377,36 @@
   EXPECT_EQ(load.CountLongEndpoints(), 12U);
 }
 
+// Round sheets and charges on the endpoints of one region: many objects of
+// different popularity, many hosts, and more than enough slots on the whole.
+constexpr Fleet kManyEndpoints{60, 120, 3, 9, 15, 0.2};
+constexpr Kind kSheets{
+    "sheet", 0,  milliseconds(228), milliseconds(912), milliseconds(460),
+    214,     524};
+constexpr Kind kCharges{
+    "charge", 0,  milliseconds(288), milliseconds(1152), milliseconds(560),
+    75,       183};
+
+// Guards against endpoints that are overloaded by several popular objects while
+// others idle. The platform's goal for days with high load is 85 % in target.
+TEST(PlacementLoadTest, PopularObjectsDoNotOverloadEndpoints) {
+  const auto in_target = [](Policy policy) {
+    Fleet fleet = kManyEndpoints;
+    fleet.policy = policy;
+    PlacementLoad load(fleet, {kSheets, kCharges});
+    const std::vector<Outcome> out = load.Run(seconds(40), seconds(15));
+    return std::min(out[0].InTargetShare(), out[1].InTargetShare());
+  };
+  const double current = in_target(Policy::kCurrent);
+  const double former = in_target(Policy::kOneEndpointPerObject);
+  const double plain = in_target(Policy::kPlainQueue);
+  EXPECT_GE(current, 0.85);
+  EXPECT_GT(current, former);
+  EXPECT_GT(current, plain);
+  RecordProperty("current", static_cast<int>(1000 * current));
+  RecordProperty("former", static_cast<int>(1000 * former));
+  RecordProperty("plain", static_cast<int>(1000 * plain));
+}
+
 }  // namespace
 }  // namespace sassafras
