Reserve more endpoints for urgent work while others are idle

The reserve of 15 of 98 endpoints for 93 objects is overrun: six endpoints of oshana serve 20 to 25 objects each and keep 11, so each request takes 670 ms in place of 170, and 14 wait there, while the others run 2 to 4 requests. Change: as far as long work needs its endpoints for less than 0.6 of their slots, the reserve is sized for a quarter of its slots in use and not half.

--- a/src/routing/urgent_reserve.cc
+++ b/src/routing/urgent_reserve.cc
@@ -17,8 +17,13 @@
 // not give a very high rate.
 constexpr Duration kMinDemandAge = std::chrono::seconds(5);
 // Target utilization of the reserved slots by urgent work. At one half, most
-// urgent requests find a free slot.
-constexpr double kTargetReserveUtilization = 0.5;
+// urgent requests find a free slot if their objects are cached; with more
+// endpoints, they are, and popular objects do not share an endpoint.
+constexpr double kMaxReserveUtilization = 0.5;
+constexpr double kSpareReserveUtilization = 0.25;
+// Utilization up to which long work runs without much waiting. Endpoints that
+// it does not need at this utilization may be reserved.
+constexpr double kCalmLongUtilization = 0.6;
 // Limit on the reserved share, unless the urgent work's part of the demand is
 // larger.
 constexpr double kMaxReservedShare = 0.5;
@@ -105,8 +110,13 @@
   }
   const double proportional_share =
       fleet.urgent_slots / (fleet.urgent_slots + fleet.long_slots);
+  const double min_share = fleet.urgent_slots / kMaxReserveUtilization / slots;
+  const double ample_share =
+      fleet.urgent_slots / kSpareReserveUtilization / slots;
+  const double spare_share =
+      1.0 - fleet.long_slots / kCalmLongUtilization / slots;
   const double wanted = std::clamp(
-      fleet.urgent_slots / kTargetReserveUtilization / slots,
+      std::max(min_share, std::min(ample_share, spare_share)),
       proportional_share, std::max(kMaxReservedShare, proportional_share));
   if (std::abs(wanted - before) <= kMinRelativeShareChange * before)
     return false;
--- a/src/routing/urgent_reserve.h
+++ b/src/routing/urgent_reserve.h
@@ -5,7 +5,7 @@
 // order of arrival, and a host knows too little about their queues to order the
 // requests itself. Long requests therefore avoid some endpoints of each region.
 // The size of this reserve follows the urgent demand, which hosts exchange by
-// gossip. All hosts rank
+// gossip, and is larger while long work leaves endpoints idle. All hosts rank
 // the endpoints in the same order, so hosts with different estimates of the
 // demand differ only in the size of the reserve.
 //
--- a/tests/routing/placement_load_test.cc
+++ b/tests/routing/placement_load_test.cc
@@ -408,5 +408,37 @@
   RecordProperty("plain", static_cast<int>(1000 * plain));
 }
 
+// Downloads among long reads, with few objects for each endpoint that the
+// caches can hold.
+constexpr Fleet kDepot{60, 98, 6, 18, 11, 0.2};
+constexpr Kind kDownloads{
+    "download", 0, milliseconds(168), milliseconds(672), milliseconds(400),
+    93,         86};
+constexpr Kind kStatements{
+    "statement", 2,  milliseconds(840), milliseconds(3360), milliseconds(4000),
+    174,         240};
+
+// Neither kind may be worse than with one endpoint for each object, and the
+// urgent one must be in target.
+TEST(PlacementLoadTest, UrgentDownloadsAreInTargetBesideLongReads) {
+  const auto run = [](Policy policy) {
+    Fleet fleet = kDepot;
+    fleet.policy = policy;
+    PlacementLoad load(fleet, {kDownloads, kStatements});
+    return load.Run(seconds(40), seconds(15));
+  };
+  const std::vector<Outcome> current = run(Policy::kCurrent);
+  const std::vector<Outcome> former = run(Policy::kOneEndpointPerObject);
+  EXPECT_GE(current[0].InTargetShare(), 0.85);
+  EXPECT_GE(current[0].InTargetShare(), former[0].InTargetShare() - 0.02);
+  EXPECT_GT(current[1].InTargetShare(), former[1].InTargetShare());
+  for (const size_t i : {size_t{0}, size_t{1}}) {
+    RecordProperty("current_" + std::to_string(i),
+                   static_cast<int>(1000 * current[i].InTargetShare()));
+    RecordProperty("former_" + std::to_string(i),
+                   static_cast<int>(1000 * former[i].InTargetShare()));
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
