--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -182,8 +182,9 @@
     OnObjectRequested(objects, HashText(request_.affinity_key));
   // Callers of other regions, which this host does not serve, may request other
   // objects.
-  objects_ = EstimateObjects(objects) *
-             static_cast<double>(state_.placement.caller_shares.size());
+  const size_t regions =
+      std::max(state_.placement.caller_shares.size(), size_t{1});
+  objects_ = EstimateObjects(objects) * static_cast<double>(regions);
   OnDemand(demand, *route_, is_long_,
            ExpectedServiceTime(state_.admission, *route_), state_.loop.Now());
 }
