--- a/tests/gateway/stop_test.cc
+++ b/tests/gateway/stop_test.cc
@@ -126,6 +126,7 @@
   constexpr milliseconds kFastTime{1600};
   StartOne(4);
   std::vector<SteadyCaller> callers;
+  callers.reserve(cases.size());
   for (const SteadyCase& it : cases)
     callers.emplace_back(world_, address_, it.name, it.pipelined,
                          it.make_request);
