Take an answer of 421 as a sign that the endpoint is gone

Cause: an address that another endpoint has taken over answers 421. Change: 421 ejects the endpoint for 4 s and ends the credit of its answers.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -427,7 +427,10 @@
                              now - ended.sent_at);
       break;
     case TryOutcome::kNotRun:
-      endpoint.last_success = now;
+      if (ended.answer.status == kHttpMisdirectedRequest)
+        OnMisdirected(endpoint, now);
+      else
+        endpoint.last_success = now;
       break;
     case TryOutcome::kFailed:
     case TryOutcome::kTimedOut:
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -219,6 +219,11 @@
   endpoint.last_success = now;
 }
 
+void OnMisdirected(EndpointView& endpoint, Time now) {
+  endpoint.last_success = Time();
+  endpoint.ejected_until = now + kMaxEjectionTime;
+}
+
 void OnFailure(EndpointView& endpoint, Time now) {
   ++endpoint.failures_in_row;
   if (endpoint.failures_in_row < kFailuresToEject)
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -121,6 +121,21 @@
   }
 }
 
+// An address that another endpoint has taken over gets no further requests, as
+// each costs a retry, and the retries of all hosts are limited.
+TEST_F(GatewayTest, MisdirectedRequestsAreFew) {
+  StartOne(3);
+  WaitUntilHostsAreKnown();
+  endpoints_[0]->set_behavior(StandinBehavior::kMisdirected);
+  for (int i = 0; i < 30; ++i) {
+    const std::string n = std::to_string(i);
+    EXPECT_EQ(Status(RequestText("POST", "/charge/" + n, "t" + n,
+                                 "Cookie: Affinity-Key=" + n + "\r\n")),
+              200);
+  }
+  EXPECT_LE(endpoints_[0]->arrivals(), 1);
+}
+
 // The first try may have run, and there is no endpoint for a second one. The
 // caller must not get a status that implies that the request did not run.
 TEST_F(GatewayTest, NoEndpointForSecondTryDoesNotImplyNotRun) {
--- a/tests/routing/endpoint_set_test.cc
+++ b/tests/routing/endpoint_set_test.cc
@@ -84,6 +84,30 @@
   EXPECT_EQ(endpoint->state, EndpointState::kGone);
 }
 
+// The answer of another endpoint at its address is no sign of life.
+TEST(EndpointSetTest, MisdirectedRequestShowsThatTheEndpointIsGone) {
+  EndpointSet set;
+  ApplyRecord(set, MakeRecord("a"), kStart);
+  const EndpointPtr endpoint = Find(set, "a");
+  OnSuccess(*endpoint, kStart);
+  OnMisdirected(*endpoint, kStart + seconds(1));
+  EXPECT_GE(endpoint->ejected_until, kStart + seconds(5));
+  MarkRegistryUnreliable(set, kStart + seconds(1));
+  ApplyRemoval(set, EndpointId("a"), kStart + seconds(1));
+  EXPECT_EQ(endpoint->state, EndpointState::kGone);
+
+  // Its record was already missing.
+  EndpointSet other;
+  ApplyRecord(other, MakeRecord("b"), kStart);
+  const EndpointPtr missing = Find(other, "b");
+  OnSuccess(*missing, kStart);
+  MarkRegistryUnreliable(other, kStart);
+  ApplyRemoval(other, EndpointId("b"), kStart);
+  ASSERT_TRUE(IsUsable(other, *missing, kStart));
+  OnMisdirected(*missing, kStart);
+  EXPECT_FALSE(IsUsable(other, *missing, kStart));
+}
+
 TEST(EndpointSetTest, RestartWithTheSameIdIsANewEndpoint) {
   EndpointSet set;
   ApplyRecord(set, MakeRecord("a", 1), kStart);
