--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -173,8 +173,8 @@
 // The endpoint sent a valid answer.
 void OnSuccess(EndpointView& endpoint, Time now);
 // Another endpoint answered at its address, which is given to others after an
-// endpoint has ended: the endpoint gets no requests for 4000 ms, and its earlier
-// answers no longer show that it runs.
+// endpoint has ended: the endpoint gets no requests for 4000 ms, and its
+// earlier answers no longer show that it runs.
 void OnMisdirected(EndpointView& endpoint, Time now);
 // The endpoint refused a connection, did not accept it in time, closed it
 // before the answer was complete or sent an invalid answer. Two failures in a
