--- a/src/routing/object_spread.cc
+++ b/src/routing/object_spread.cc
@@ -7,9 +7,10 @@
 namespace {
 
 // Objects per endpoint up to which each object may have two endpoints.
-// Endpoints do not tell how many objects they keep; the smallest known caches
-// hold eight.
-constexpr double kMaxObjectsPerEndpoint = 7;
+// Endpoints do not tell how many objects they keep. The smallest known caches
+// hold eight; some endpoints get several times the mean, and objects that
+// spill.
+constexpr double kMaxObjectsPerEndpoint = 3;
 // With fewer endpoints, a host sees enough load reports to notice that one is
 // overloaded.
 constexpr size_t kMinSpreadEndpoints = 24;
