Spread no objects before a host has seen twelve requests

A host with few requests took few objects for granted and spread its first ones, so that endpoints were cold for two objects in place of one.

--- a/src/routing/object_spread.cc
+++ b/src/routing/object_spread.cc
@@ -1,6 +1,7 @@
 #include "routing/object_spread.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sassafras {
 
@@ -14,6 +15,9 @@
 // With fewer endpoints, a host sees enough load reports to notice that one is
 // overloaded.
 constexpr size_t kMinSpreadEndpoints = 24;
+// A smaller sample shows nothing. Hosts that start would spread the objects of
+// their first requests over endpoints that do not have them in their caches.
+constexpr size_t kMinSampledRequests = 12;
 // Stands for no equal pair, which does not show that there are any number of
 // objects.
 constexpr double kMinEqualPairs = 0.5;
@@ -33,6 +37,8 @@
 }
 
 double EstimateObjects(const ObjectSample& sample) {
+  if (sample.keys.size() < kMinSampledRequests)
+    return std::numeric_limits<double>::infinity();
   const auto n = static_cast<double>(sample.keys.size());
   const auto equal = static_cast<double>(sample.equal_pairs);
   return n * (n - 1) / 2 / std::max(equal, kMinEqualPairs);
--- a/src/routing/object_spread.h
+++ b/src/routing/object_spread.h
@@ -29,8 +29,8 @@
 void OnObjectRequested(ObjectSample& sample, uint64_t key_hash);
 
 // Estimates the number of objects that all hosts' requests concern, from how
-// often two requests of the sample concern the same one. Rough as long as the
-// sample is small, and too low if few objects get most requests.
+// often two requests of the sample concern the same one. Infinite as long as
+// the sample is small, and too low if few objects get most requests.
 double EstimateObjects(const ObjectSample& sample);
 
 // Number of endpoints for each of `objects` objects on `endpoints` endpoints: 2
