Restore a replaced load scenario and a loosened check

Change: all as they were; the newer scenario is a test of its own, and downloads are played at both loads.

--- a/tests/routing/object_spread_test.cc
+++ b/tests/routing/object_spread_test.cc
@@ -68,6 +68,7 @@
       {"many objects for their endpoints", 900, 112, 1},
       {"several objects for each of many endpoints", 1400, 573, 1},
       {"fewer objects than endpoints", 270, 327, 2},
+      {"no object", 0, 70, 2},
   };
   for (const Case& it : cases) {
     SCOPED_TRACE(it.name);
--- a/tests/routing/placement_load_test.cc
+++ b/tests/routing/placement_load_test.cc
@@ -377,6 +377,39 @@
   EXPECT_EQ(load.CountLongEndpoints(), 12U);
 }
 
+// Share in target of the kind that is served worst, with `policy`.
+double LeastInTarget(Fleet fleet, Policy policy, std::vector<Kind> kinds) {
+  fleet.policy = policy;
+  PlacementLoad load(fleet, std::move(kinds));
+  double least = 1.0;
+  for (const Outcome& it : load.Run(seconds(40), seconds(15)))
+    least = std::min(least, it.InTargetShare());
+  return least;
+}
+
+// Round sheets and charges on the endpoints of one region: many objects of
+// different popularity, many hosts, and more than enough slots on the whole.
+constexpr Fleet kSheetEndpoints{60, 120, 3, 9, 15, 0.2};
+constexpr Kind kSheets{
+    "sheet", 0,  milliseconds(228), milliseconds(912), milliseconds(460),
+    214,     524};
+constexpr Kind kCharges{
+    "charge", 0,  milliseconds(288), milliseconds(1152), milliseconds(560),
+    75,       183};
+
+// Endpoints are overloaded by several popular objects while others idle. The
+// platform's goal for days with high load is 85 % in target.
+TEST(PlacementLoadTest, PopularObjectsDoNotOverloadEndpoints) {
+  const std::vector<Kind> kinds = {kSheets, kCharges};
+  const double current =
+      LeastInTarget(kSheetEndpoints, Policy::kCurrent, kinds);
+  EXPECT_GE(current, 0.85);
+  EXPECT_GT(current, LeastInTarget(kSheetEndpoints,
+                                   Policy::kOneEndpointPerObject, kinds));
+  EXPECT_GT(current,
+            LeastInTarget(kSheetEndpoints, Policy::kPlainQueue, kinds));
+}
+
 // Archive reads on the endpoints of one region: fewer objects than endpoints,
 // of which the popular ones need more slots than an endpoint has, many hosts,
 // and more than enough slots on the whole.
@@ -387,13 +420,9 @@
 
 // Guards against endpoints that are overloaded by a popular object while others
 // idle. The platform's goal for days with high load is 85 % in target.
-TEST(PlacementLoadTest, PopularObjectsDoNotOverloadEndpoints) {
+TEST(PlacementLoadTest, PopularArchiveReadsDoNotOverloadEndpoints) {
   const auto in_target = [](Policy policy) {
-    Fleet fleet = kManyEndpoints;
-    fleet.policy = policy;
-    PlacementLoad load(fleet, {kArchiveReads});
-    const std::vector<Outcome> out = load.Run(seconds(40), seconds(15));
-    return out[0].InTargetShare();
+    return LeastInTarget(kManyEndpoints, policy, {kArchiveReads});
   };
   const double current = in_target(Policy::kCurrent);
   const double former = in_target(Policy::kOneEndpointPerObject);
@@ -418,25 +447,37 @@
 
 // Neither kind may be worse than with one endpoint for each object, and the
 // urgent one must be in target.
-TEST(PlacementLoadTest, UrgentDownloadsAreInTargetBesideLongReads) {
-  const auto run = [](Policy policy) {
+void ExpectDownloadsInTarget(double statement_rate) {
+  const auto run = [&](Policy policy) {
     Fleet fleet = kDepot;
     fleet.policy = policy;
-    PlacementLoad load(fleet, {kDownloads, kStatements});
+    Kind statements = kStatements;
+    statements.rate = statement_rate;
+    PlacementLoad load(fleet, {kDownloads, statements});
     return load.Run(seconds(40), seconds(15));
   };
   const std::vector<Outcome> current = run(Policy::kCurrent);
   const std::vector<Outcome> former = run(Policy::kOneEndpointPerObject);
   EXPECT_GE(current[0].InTargetShare(), 0.85);
   EXPECT_GE(current[0].InTargetShare(), former[0].InTargetShare() - 0.02);
-  EXPECT_GE(current[1].InTargetShare(), former[1].InTargetShare() - 0.02);
+  EXPECT_GT(current[1].InTargetShare(), former[1].InTargetShare());
   for (const size_t i : {size_t{0}, size_t{1}}) {
-    RecordProperty("current_" + std::to_string(i),
-                   static_cast<int>(1000 * current[i].InTargetShare()));
-    RecordProperty("former_" + std::to_string(i),
-                   static_cast<int>(1000 * former[i].InTargetShare()));
+    testing::Test::RecordProperty(
+        "current_" + std::to_string(i),
+        static_cast<int>(1000 * current[i].InTargetShare()));
+    testing::Test::RecordProperty(
+        "former_" + std::to_string(i),
+        static_cast<int>(1000 * former[i].InTargetShare()));
   }
 }
 
+TEST(PlacementLoadTest, UrgentDownloadsAreInTargetBesideLongReads) {
+  ExpectDownloadsInTarget(kStatements.rate);
+}
+
+TEST(PlacementLoadTest, UrgentDownloadsAreInTargetBesideMoreLongReads) {
+  ExpectDownloadsInTarget(340);
+}
+
 }  // namespace
 }  // namespace sassafras
