--- a/review/standins/broken_read.cc
+++ b/review/standins/broken_read.cc
@@ -136,10 +136,10 @@
   // Never destroyed: the threads of the stand-ins end with the process.
   Run& run = *new Run(options);
   Store& store = *new Store("127.0.0.1");
-  store.Put("config", "main",
-            Configuration(1, {"rondas"},
-                          {{"/sheet/", "idempotent", "rondas", 2, 0.5, 0,
-                            true}}));
+  store.Put(
+      "config", "main",
+      Configuration(1, {"rondas"},
+                    {{"/sheet/", "idempotent", "rondas", 2, 0.5, 0, true}}));
   for (int i = 0; i < kServers; ++i) {
     Server& server = *new Server;
     server.name = "i-" + std::to_string(i);
@@ -147,9 +147,9 @@
     const auto* listener = new Listener(
         kServerIp, 0,
         [&run, &server](Conn& conn) { ServeConnection(run, server, conn); });
-    store.Put("servers", server.name,
-              ServerEntry("rondas", kServerIp, listener->port(), "cuyo-a",
-                          kSlots));
+    store.Put(
+        "servers", server.name,
+        ServerEntry("rondas", kServerIp, listener->port(), "cuyo-a", kSlots));
   }
   Gateways gateways(options.folder, store.port(), 6, 2);
   gateways.Start(0);
@@ -178,7 +178,8 @@
     if (!it.is_closed || !it.was_run || !it.is_sound)
       continue;
     ++lost;
-    run.record.Line("LOST: " + id + " ran at a sound server, and the gateway "
+    run.record.Line("LOST: " + id +
+                    " ran at a sound server, and the gateway "
                     "closed its client's connection without an answer");
   }
   run.record.Line("requests " + std::to_string(run.requests.size()) +
--- a/review/standins/early_answer.cc
+++ b/review/standins/early_answer.cc
@@ -87,14 +87,15 @@
               const std::string& expected,
               std::string body) {
   conn.ReadExactly(body, expected.size() - body.size(), NowMs() + 8000);
-  const auto [at, same] = std::mismatch(body.begin(), body.end(),
-                                        expected.begin());
+  const auto [at, same] =
+      std::mismatch(body.begin(), body.end(), expected.begin());
   if (at != body.end()) {
     ++run.foreign;
     const size_t offset = static_cast<size_t>(at - body.begin());
-    run.record.Line(server + " BROKEN: other bytes where the rest of the body "
-                    "of " + id + " is due, at offset " +
-                    std::to_string(offset) + ": " +
+    run.record.Line(server +
+                    " BROKEN: other bytes where the rest of the body "
+                    "of " +
+                    id + " is due, at offset " + std::to_string(offset) + ": " +
                     Printable(body.substr(offset)));
     return false;
   }
@@ -202,8 +203,8 @@
     if (!conn)
       return;
     const std::string body = "amount=1&id=" + id;
-    conn->Write(RequestHead("/charge/" + id, id, body.size(),
-                            (caller + n) % 6) + body);
+    conn->Write(
+        RequestHead("/charge/" + id, id, body.size(), (caller + n) % 6) + body);
     const auto head = conn->ReadHead(NowMs() + 5000);
     std::string answer;
     const bool whole = head && conn->ReadBody(*head, answer, NowMs() + 1000);
@@ -220,10 +221,10 @@
   Run& run = *new Run(options);
   Store& store = *new Store("127.0.0.1");
   store.Put("config", "main",
-            Configuration(1, {"rondas"},
-                          {{"/up/", "upload", "rondas", 4, 0.6, 1, true},
-                           {"/charge/", "non_idempotent", "rondas", 4, 0.6, 1,
-                            true}}));
+            Configuration(
+                1, {"rondas"},
+                {{"/up/", "upload", "rondas", 4, 0.6, 1, true},
+                 {"/charge/", "non_idempotent", "rondas", 4, 0.6, 1, true}}));
   for (int i = 0; i < kServers; ++i) {
     Server& server = *new Server;
     server.name = "i-" + std::to_string(i);
@@ -231,9 +232,9 @@
     const auto* listener = new Listener(
         kServerIp, 0,
         [&run, &server](Conn& conn) { ServeConnection(run, server, conn); });
-    store.Put("servers", server.name,
-              ServerEntry("rondas", kServerIp, listener->port(), "cuyo-a",
-                          kSlots));
+    store.Put(
+        "servers", server.name,
+        ServerEntry("rondas", kServerIp, listener->port(), "cuyo-a", kSlots));
   }
   Gateways gateways(options.folder, store.port(), 6, 2);
   gateways.Start(0);
--- a/review/standins/late_read.cc
+++ b/review/standins/late_read.cc
@@ -1,7 +1,7 @@
-// A planned stop of one host. Clients that hold an older answer of the directory
-// send it reads until the middle of the grace; a few of these reads are for
-// objects that no server has handled recently. Checks that no read that was
-// sent late, passed on and is at work at a server is broken off.
+// A planned stop of one host. Clients that hold an older answer of the
+// directory send it reads until the middle of the grace; a few of these reads
+// are for objects that no server has handled recently. Checks that no read that
+// was sent late, passed on and is at work at a server is broken off.
 #include <csignal>
 #include <cstdio>
 #include <deque>
@@ -150,16 +150,16 @@
     it.sent = NowMs();
   }
   const int64_t stopped = run.stopped;
-  run.record.Line("client sends " + id + " (object " + object + ") to front-" +
-                  std::to_string(host) +
-                  (stopped < 0 || host != 0
-                       ? ""
-                       : ", " + std::to_string(NowMs() - stopped) +
-                             " ms after SIGTERM"));
+  run.record.Line(
+      "client sends " + id + " (object " + object + ") to front-" +
+      std::to_string(host) +
+      (stopped < 0 || host != 0
+           ? ""
+           : ", " + std::to_string(NowMs() - stopped) + " ms after SIGTERM"));
   conn->Write("GET /archive/" + object +
               " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
-              "\r\nCookie: Affinity-Key=" + object + "\r\nDeadline-Ms: " +
-              std::to_string(kDeadlineMs) + "\r\n\r\n");
+              "\r\nCookie: Affinity-Key=" + object +
+              "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\n\r\n");
   const auto head = conn->ReadHead(NowMs() + kDeadlineMs);
   std::string body;
   const bool whole = head && conn->ReadBody(*head, body, NowMs() + 2000);
@@ -170,11 +170,11 @@
     it.status = whole ? head->Status() : 0;
     it.has_seal = whole && !head->Get("Server-Seal").empty();
   }
-  run.record.Line("client got for " + id + ": " +
-                  (whole ? head->start + (head->Get("Server-Seal").empty()
-                                              ? ", no seal"
-                                              : ", sealed")
-                         : "no complete answer"));
+  run.record.Line(
+      "client got for " + id + ": " +
+      (whole ? head->start +
+                   (head->Get("Server-Seal").empty() ? ", no seal" : ", sealed")
+             : "no complete answer"));
   if (!whole || head->Get("Connection") == "close")
     conn.reset();
   return whole && head->Status() == 200;
@@ -183,20 +183,21 @@
 // Whether clients may still use the host by an older answer of the directory.
 bool MayUse(const Run& run, int host) {
   const int64_t stopped = run.stopped;
-  return host != 0 || stopped < 0 ||
-         NowMs() - stopped < kLastUseOfDirectoryMs;
+  return host != 0 || stopped < 0 || NowMs() - stopped < kLastUseOfDirectoryMs;
 }
 
-void SendPopular(Run& run, Gateways& gateways, int host, int client,
+void SendPopular(Run& run,
+                 Gateways& gateways,
+                 int host,
+                 int client,
                  int64_t until) {
   std::unique_ptr<Conn> conn;
   for (int n = 0; NowMs() < until && MayUse(run, host); ++n) {
     const std::string id = "p" + std::to_string(host) + "-" +
                            std::to_string(client) + "-" + std::to_string(n);
-    const bool is_served =
-        Read(run, gateways, host, id,
-             "popular-" + std::to_string((n + 2 * client) % kPopularObjects),
-             conn);
+    const bool is_served = Read(
+        run, gateways, host, id,
+        "popular-" + std::to_string((n + 2 * client) % kPopularObjects), conn);
     // Clients leave out an address that has failed them.
     if (!is_served && run.stopped >= 0)
       return;
@@ -228,9 +229,9 @@
     const auto* listener = new Listener(
         kServerIp, 0,
         [&run, &server](Conn& conn) { ServeConnection(run, server, conn); });
-    store.Put("servers", server.name,
-              ServerEntry("bitacora", kServerIp, listener->port(), "cuyo-a",
-                          kSlots));
+    store.Put(
+        "servers", server.name,
+        ServerEntry("bitacora", kServerIp, listener->port(), "cuyo-a", kSlots));
   }
   Gateways gateways(options.folder, store.port(), kGraceS, 2);
   gateways.Start(0);
--- a/review/standins/standins.cc
+++ b/review/standins/standins.cc
@@ -30,7 +30,9 @@
 constexpr char kStoreIp[] = "127.0.0.1";
 constexpr int kFirstGatewayOctet = 11;
 constexpr std::pair<const char*, const char*> kZones[] = {
-    {"cuyo-a", "cuyo"}, {"pampa-a", "pampa"}, {"litoral-a", "litoral"}};
+    {"cuyo-a", "cuyo"},
+    {"pampa-a", "pampa"},
+    {"litoral-a", "litoral"}};
 
 sockaddr_in SockaddrOf(const std::string& ip, int port) {
   sockaddr_in out{};
@@ -238,9 +240,9 @@
     if (colon == std::string::npos)
       continue;
     const size_t value = line.find_first_not_of(' ', colon + 1);
-    head.fields.emplace_back(
-        line.substr(0, colon),
-        value == std::string::npos ? "" : line.substr(value));
+    head.fields.emplace_back(line.substr(0, colon), value == std::string::npos
+                                                        ? ""
+                                                        : line.substr(value));
   }
   return head;
 }
@@ -378,9 +380,8 @@
   if (object.created == 0)
     object.created = object.revision;
   object.spec = spec;
-  events_.push_back({revision_,
-                     kind,
-                     {{"object", Form(name, object)}, {"deleted", false}}});
+  events_.push_back(
+      {revision_, kind, {{"object", Form(name, object)}, {"deleted", false}}});
   changed_.notify_all();
 }
 
@@ -576,8 +577,8 @@
      << "\nregion=" << kZones[index % 3].second;
   for (const auto& [zone, region] : kZones)
     os << "\nzones." << zone << "=" << region;
-  os << "\nlisten.front="
-     << at(front_port_) << "\nlisten.ready=" << at(ready_port_)
+  os << "\nlisten.front=" << at(front_port_)
+     << "\nlisten.ready=" << at(ready_port_)
      << "\nlisten.control=" << at(control_port_)
      << "\nlisten.directory=" << at(directory_port_)
      << "\ninternal-ports=" << internal_port_ << "," << internal_port_ + 15
