Review case 1: an answer that was reset on its way is passed on as whole

Cause: on a reset while bytes of the request wait to be written, send() takes the socket's error, recv() in the same turn then returns 0, and the end of the connection counts as the end of an answer without a length.

Done: a script in which servers answer some long uploads early, without a length, and break these answers off.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,9 +3,9 @@
 # TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x review/bin/early_answer ] && [ -x target/sassafrasdeck ] || exit 2
+[ -x review/bin/reset_answer ] && [ -x target/sassafrasdeck ] || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 5 115 review/bin/early_answer "$here/record.txt" "$folder"
+timeout -k 5 115 review/bin/reset_answer "$here/record.txt" "$folder"
 result=$?
 rm -rf "$folder"
 [ "$result" -le 1 ] || result=2
