--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -1,8 +1,11 @@
 #include "standins/platform_world.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -31,6 +34,11 @@
 // replaces it by the text.
 const std::string kRawTextPlaceholder = "text:";
 constexpr HttpReadLimits kLimits{64 << 10, 256 << 20};
+// Of connections with small buffers.
+constexpr int kSegmentBytes = 1400;
+constexpr int kReceiveBufferBytes = 8 << 10;
+// From the begun answer to the reset, with kEarlyUnframedReset.
+constexpr auto kEarlyResetDelay = std::chrono::milliseconds(50);
 
 template <typename T>
 T OrDie(Result<T> result) {
@@ -237,20 +245,43 @@
                                  [this](bool, bool) { Accept(); });
 }
 
+void PlatformStandinEndpoint::UseSmallSocketBuffers() {
+  // Accepted connections inherit these.
+  setsockopt(listener_.fd(), IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
+             sizeof(kSegmentBytes));
+  setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+             sizeof(kReceiveBufferBytes));
+}
+
 void PlatformStandinEndpoint::Crash() {
   ++crashes_;
   accept_watch_.reset();
   listener_ = Socket();
+  if (crashes_silently_) {
+    for (const auto& it : connections_) {
+      it->answer_timer.reset();
+      it->endless_timer.reset();
+      it->stream->SetReading(false);
+    }
+  } else {
+    CloseConnections();
+  }
+  restart_timer_ = loop_.After(
+      crashes_silently_ ? kStandinSilentRestartDelay : kStandinRestartDelay,
+      [this] {
+        CloseConnections();
+        StartListening();
+        if (on_restart_)
+          on_restart_();
+      });
+}
+
+void PlatformStandinEndpoint::CloseConnections() {
   for (const auto& it : std::exchange(connections_, {})) {
     it->answer_timer.reset();
     it->endless_timer.reset();
     it->stream->Close();
   }
-  restart_timer_ = loop_.After(kStandinRestartDelay, [this] {
-    StartListening();
-    if (on_restart_)
-      on_restart_();
-  });
 }
 
 Json PlatformStandinEndpoint::Record(const std::string& service,
@@ -296,6 +327,28 @@
   connection->body += connection->reader->TakeBody();
   if (connection->reader->state() == HttpReadState::kComplete)
     HandleRequest(connection);
+  else if (connection->reader->state() == HttpReadState::kBody &&
+           behavior_ == StandinBehavior::kEarlyUnframedReset)
+    SendEarlyUnframedReset(connection);
+}
+
+void PlatformStandinEndpoint::SendEarlyUnframedReset(
+    const std::shared_ptr<Connection>& connection) {
+  Stream& stream = *connection->stream;
+  const HttpHead& head = connection->reader->head();
+  const std::string* id = FindField(head.fields, "Request-Id");
+  const std::string request_id = id ? *id : "";
+  runs_.push_back({request_id, head, "", loop_.Now()});
+  stream.SetReading(false);
+  stream.Write(FormatAnswerHead(200, {{"Request-Id", request_id},
+                                      {"Server-Seal", "seal-" + request_id},
+                                      {"Connection", "close"}}) +
+               "half of the answer");
+  // Closing with unread bytes resets the connection.
+  connection->answer_timer = loop_.After(kEarlyResetDelay, [connection] {
+    connection->answer_timer.reset();
+    connection->stream->Close();
+  });
 }
 
 void PlatformStandinEndpoint::HandleRequest(
@@ -417,6 +470,16 @@
     case StandinBehavior::kEndlessHead:
       SendEndlessly(connection, "HTTP/1.1 200 OK\r\n", "X: y\r\n");
       return;
+    case StandinBehavior::kEndlessHeadLine:
+      SendEndlessly(connection, "HTTP/1.1 200 OK\r\nX: ", "y");
+      return;
+    case StandinBehavior::kEndlessEmptyLines:
+      SendEndlessly(connection, "", "\r\n");
+      return;
+    case StandinBehavior::kEndlessChunkSize:
+      fields.back() = {"Transfer-Encoding", "chunked"};
+      SendEndlessly(connection, FormatAnswerHead(200, fields), "0");
+      return;
     case StandinBehavior::kEndlessInterim:
       SendEndlessly(connection, "", "HTTP/1.1 102 Processing\r\n\r\n");
       return;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -107,7 +107,10 @@
   kTruncatedBody,  // Closes the connection in the middle of the answer's body.
   kUnsigned,       // Answers without its signature.
   kForeignAnswerFirst,  // Sends an answer to another request before its own.
-  kUnframed,     // Answers without Content-Length and closes the connection.
+  kUnframed,  // Answers without Content-Length and closes the connection.
+  // Begins an answer without Content-Length before the request's body is read,
+  // and resets the connection in the middle of it.
+  kEarlyUnframedReset,
   kServerError,  // Answers 500 with its signature.
   kMisdirected,  // Answers 421, as if the request were for another endpoint.
   kUnprovenRefusal,  // Runs it and answers 503 without proof that it did not.
@@ -121,6 +124,9 @@
   // The following send without end, until the connection is closed.
   kEndlessGarbage,        // Bytes that are not HTTP.
   kEndlessHead,           // Fields of the answer's head.
+  kEndlessHeadLine,       // One field of the answer's head.
+  kEndlessEmptyLines,     // Empty lines in place of an answer.
+  kEndlessChunkSize,      // The size line of a chunk.
   kEndlessInterim,        // Interim answers.
   kEndlessForeignAnswer,  // Another request's answer.
   kEndlessShed,           // An answer that says it did not run the request.
@@ -128,8 +134,10 @@
   kEndlessBody,           // The answer's own body.
 };
 
-// Time from the crash of a stand-in endpoint to its restart.
+// Time from the crash of a stand-in endpoint to its restart. A silent crash
+// lasts longer than the time limit of the requests.
 inline constexpr std::chrono::milliseconds kStandinRestartDelay{1000};
+inline constexpr std::chrono::milliseconds kStandinSilentRestartDelay{4500};
 
 // Stand-in for one of the platform's endpoints: an HTTP server that can be made
 // to answer wrongly, slowly or not at all.
@@ -154,6 +162,10 @@
   void set_behavior(StandinBehavior behavior) { behavior_ = behavior; }
   // Time from the receipt of a request to its answer or refusal.
   void set_work_time(Duration work_time) { work_time_ = work_time; }
+  // Gives connections that are accepted from now on the segments and receive
+  // buffers of a network. With those of the loopback interface, whole uploads
+  // fit into the socket buffers.
+  void UseSmallSocketBuffers();
   // Size in bytes to which the bodies of answers are padded; 0: no padding.
   void set_answer_bytes(size_t n) { answer_bytes_ = n; }
   // Number of bytes of the head that kTruncatedHead and kTruncatedChunkedHead
@@ -167,6 +179,10 @@
   using CrashRule =
       std::function<bool(const HttpHead& head, const std::string& body)>;
   void set_crash_rule(CrashRule rule) { crash_rule_ = std::move(rule); }
+  // A silent crash leaves the connections open, but reads and sends nothing
+  // more on them. They are closed at the restart, after
+  // kStandinSilentRestartDelay.
+  void set_crashes_silently(bool silently) { crashes_silently_ = silently; }
   void set_on_restart(std::function<void()> fn) { on_restart_ = std::move(fn); }
   int crashes() const { return crashes_; }
   // The endpoint's record, as an object's specification in the store.
@@ -185,9 +201,11 @@
   };
   void StartListening();
   void Crash();
+  void CloseConnections();
   void Accept();
   void OnData(const std::shared_ptr<Connection>& connection,
               std::string_view data);
+  void SendEarlyUnframedReset(const std::shared_ptr<Connection>& connection);
   void HandleRequest(const std::shared_ptr<Connection>& connection);
   void SendAnswer(const std::shared_ptr<Connection>& connection,
                   const std::string& id);
@@ -204,6 +222,7 @@
   CrashRule crash_rule_;
   std::function<void()> on_restart_;
   int crashes_ = 0;
+  bool crashes_silently_ = false;
   size_t head_bytes_sent_ = 0;
   size_t head_size_ = 0;
   std::vector<std::shared_ptr<Connection>> connections_;
