Report a reset as a reset while bytes are unsent

Cause: the stream sent before it read. The send met the reset and took the socket's error, the read then returned an end of file, and the exchange took that for the end of the answer. Seen in the log line that this adds: told a regular end, request not sent, nothing left unsent.

The stream now reads first, and takes an end of file after a failed send for a reset, which it reports after the bytes that had arrived before. An exchange no longer counts bytes written after a failed send as sent.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -379,9 +379,9 @@
 
 void GatewayExchange::SendBody() {
   Try& t = *try_;
-  if (t.request_sent || !t.stream || !t.stream->is_open())
+  if (t.request_sent || !t.stream)
     return;
-  while (t.stream->pending() < kMaxPendingSendBytes) {
+  while (t.stream->can_send() && t.stream->pending() < kMaxPendingSendBytes) {
     const size_t at = t.body_bytes_sent - body_begin_;
     const size_t n = std::min(body_.size() - at, kMaxPendingSendBytes);
     if (n == 0)
@@ -395,7 +395,8 @@
     body_.erase(0, t.body_bytes_sent - body_begin_);
     body_begin_ = t.body_bytes_sent;
   }
-  if (body_complete_ && t.body_bytes_sent == body_begin_ + body_.size()) {
+  if (body_complete_ && t.stream->can_send() &&
+      t.body_bytes_sent == body_begin_ + body_.size()) {
     t.request_sent = true;
     if (caller_chunked_)
       t.stream->Write(kLastChunk);
@@ -501,7 +502,7 @@
                         outcome == TryOutcome::kFailed ||
                         outcome == TryOutcome::kNotRun;
   const bool is_reusable = is_whole && t.request_sent && t.input.empty() &&
-                           t.stream->pending() == 0 &&
+                           t.stream->can_send() && t.stream->pending() == 0 &&
                            t.reader->state() == HttpReadState::kComplete &&
                            t.reader->head().keep_alive;
   if (is_reusable)
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -159,6 +159,13 @@
     t.reader->ReadEnd();
     t.answer_body += t.reader->TakeBody();
     if (t.reader->state() == HttpReadState::kComplete) {
+      LogLine(LogLevel::kInfo, "request", "Answer ended with its connection.")
+          .With("id", request_.id)
+          .With("endpoint", t.endpoint->record.id)
+          .With("status", t.answer.status)
+          .With("body_bytes", answer_bytes_ + t.answer_body.size())
+          .With("request_sent", t.request_sent)
+          .With("unsent_bytes", t.stream->pending());
       OnAnswerEnd();
       return;
     }
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -75,10 +75,12 @@
     OnConnectDone();
     return;
   }
-  if (writable)
-    Flush();
-  if (readable && socket_.valid())
+  // Reads first: a send that meets a reset takes the socket's error with it, so
+  // that a later read could not tell the reset from a regular close.
+  if (readable)
     ReadSome();
+  if (writable && socket_.valid())
+    Flush();
 }
 
 void Stream::OnConnectDone() {
@@ -100,27 +102,25 @@
   static std::array<char, kReadBufferBytes> buf;
   for (int i = 0; i < kMaxReadsPerTurn && socket_.valid() && reading_; ++i) {
     const ssize_t n = ::recv(socket_.fd(), buf.data(), buf.size(), 0);
-    if (n < 0 && IsTransient(errno))
+    if (n < 0 && IsTransient(errno) && !send_failed_)
       return;
-    if (n < 0) {
-      End(StreamEnd::kReset);
-      return;
-    }
-    if (n == 0) {
-      End(StreamEnd::kClosed);
+    if (n <= 0) {
+      End(n < 0 || send_failed_ ? StreamEnd::kReset : StreamEnd::kClosed);
       return;
     }
     if (!closing_ && handlers_.on_data) {
       const auto on_data = handlers_.on_data;
       on_data({buf.data(), static_cast<size_t>(n)});
     }
-    if (static_cast<size_t>(n) < buf.size())
+    // With data to send, reads on to the end of file or the error, if there is
+    // one, before the next send can take it.
+    if (static_cast<size_t>(n) < buf.size() && pending() == 0)
       return;
   }
 }
 
 void Stream::Write(std::string_view data) {
-  if (!socket_.valid() || closing_)
+  if (!socket_.valid() || closing_ || send_failed_)
     return;
   send_buffer_.append(data);
   if (connected_)
@@ -134,13 +134,7 @@
     if (n < 0 && IsTransient(errno))
       break;
     if (n < 0) {
-      // Deferred to a later turn, since Write() may be on the call stack.
-      loop_.Post([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-          self->End(StreamEnd::kReset);
-      });
-      send_buffer_.clear();
-      send_offset_ = 0;
+      OnSendFailed();
       return;
     }
     has_sent_ = true;
@@ -163,6 +157,24 @@
     on_drained();
 }
 
+// Ends the stream in a later turn, since Write() may be on the call stack. What
+// the peer sent before is read first, unless reading is paused.
+void Stream::OnSendFailed() {
+  send_failed_ = true;
+  send_buffer_.clear();
+  send_offset_ = 0;
+  loop_.Post([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || !self->socket_.valid())
+      return;
+    self->UpdateWatch();
+    if (self->reading_)
+      self->ReadSome();
+    else
+      self->End(StreamEnd::kReset);
+  });
+}
+
 void Stream::SetReading(bool reading) {
   if (reading == reading_)
     return;
--- a/src/gateway/stream.h
+++ b/src/gateway/stream.h
@@ -57,13 +57,16 @@
   void set_handlers(Handlers handlers) { handlers_ = std::move(handlers); }
 
   // Sends `data`, or buffers what the socket does not accept. A failure is
-  // reported by on_end on a later turn of the loop.
+  // reported by on_end as a reset on a later turn of the loop, after on_data
+  // has been called with what the peer had sent before.
   void Write(std::string_view data);
   // Bytes in the send buffer.
   size_t pending() const { return send_buffer_.size() - send_offset_; }
   // Whether any byte was passed to the socket.
   bool has_sent() const { return has_sent_; }
   bool is_open() const { return socket_.valid(); }
+  // Whether Write() still has an effect: the stream is open and no send failed.
+  bool can_send() const { return socket_.valid() && !send_failed_; }
   bool is_connected() const { return connected_; }
   // Starts or stops reading, to apply backpressure to the peer.
   void SetReading(bool reading);
@@ -82,6 +85,7 @@
   void OnConnectDone();
   void ReadSome();
   void Flush();
+  void OnSendFailed();
   void RestartLinger();
   void End(StreamEnd end);
 
@@ -92,6 +96,7 @@
   bool has_sent_ = false;
   bool closing_ = false;  // CloseGracefully() was called.
   bool ended_ = false;
+  bool send_failed_ = false;
   std::string send_buffer_;
   size_t send_offset_ = 0;
   Handlers handlers_;
--- a/tests/gateway/untrusted_input_test.cc
+++ b/tests/gateway/untrusted_input_test.cc
@@ -205,5 +205,23 @@
   }
 }
 
+// Guards against forwarding an answer without a length as complete although its
+// connection was reset while the gateway was still sending the request.
+TEST_F(UntrustedInputTest, UnframedAnswerThatIsResetIsNotForwarded) {
+  constexpr size_t kUploadBytes = 4 << 20;
+  StartOne(2);
+  for (PlatformStandinEndpoint* it : endpoints_)
+    it->UseSmallSocketBuffers();
+  SetAct(StandinBehavior::kEarlyUnframedReset);
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    EXPECT_EQ(Status(RequestText("POST", "/upload/" + id, id, "",
+                                 std::string(kUploadBytes, 'u'))),
+              502);
+    Wait(milliseconds(600));
+  }
+  EXPECT_GT(CountRuns(), 0U);
+}
+
 }  // namespace
 }  // namespace sassafras
