Hold late requests of a planned stop to their deadline

Cause: whether a read may still start was decided by an estimate of its time (mean and four deviations of the route at this host), which knows nothing of the object; the record shows 2,560 ms of work where 1.7 s were allowed for.

From 3 s on, or half of the stop timeout, requests of any kind start only if their deadline comes before the final answers. Others are refused as not run, and their callers take another host. Earlier ones start by the estimate as before.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -156,16 +156,20 @@
 bool GatewayExchange::RefuseIfStopping() {
   if (!state_.stopping)
     return false;
-  const Duration until_final = state_.final_answers_at - state_.loop.Now();
-  if (MayStartWhileStopping(state_.admission, *route_, TimeLeft(), until_final))
+  StoppingRequest stopping;
+  stopping.time_limit = TimeLeft();
+  stopping.until_final = state_.final_answers_at - state_.loop.Now();
+  stopping.must_not_be_cut = arrived_ >= state_.no_cuts_from;
+  if (MayStartWhileStopping(state_.admission, *route_, stopping))
     return false;
   LogLine(LogLevel::kInfo, "request",
           "Refused a request that may outlast this host's stop.")
       .With("id", request_.id)
       .With("kind", NameOf(route_->kind))
-      .With("left_ms", Millis(TimeLeft()))
+      .With("left_ms", Millis(stopping.time_limit))
       .With("longest_ms", Millis(LongestServiceTime(state_.admission, *route_)))
-      .With("until_final_answers_ms", Millis(until_final));
+      .With("until_final_answers_ms", Millis(stopping.until_final))
+      .With("must_not_be_cut", stopping.must_not_be_cut);
   Refuse("stopping", kStoppingRetryAfter);
   return true;
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -281,6 +281,7 @@
         .With("connections", connections_.size())
         .With("open", state_.open_exchanges);
     const StopSchedule stop = MakeStopSchedule(state_.settings.stop_timeout);
+    state_.no_cuts_from = loop_.Now() + stop.no_cuts;
     state_.final_answers_at = loop_.Now() + stop.final_answers;
     drain_timer_ = loop_.After(stop.drain, [this] { BeginDrain(); });
     final_answers_timer_ =
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -52,6 +52,8 @@
   std::function<void()> announce = [] {};
   // Set after SIGTERM or SIGINT. Answers then close their connections.
   bool stopping = false;
+  // See StopSchedule::no_cuts.
+  Time no_cuts_from;
   // When a stopping process answers the requests that are still open.
   Time final_answers_at;
   // Number of requests whose callers wait for an answer.
--- a/src/routing/stop_policy.h
+++ b/src/routing/stop_policy.h
@@ -15,6 +15,8 @@
 
 // Times since the signal to stop.
 struct StopSchedule {
+  // Requests that arrive later must not be cut by the exit of the process.
+  Duration no_cuts{};
   Duration drain{};          // No new connections; idle ones are closed.
   Duration final_answers{};  // Open requests are answered with an error.
   Duration exit{};           // The process exits, even if answers are unsent.
@@ -23,15 +25,21 @@
 // `stop_timeout`: from the signal to stop until the process is killed.
 StopSchedule MakeStopSchedule(Duration stop_timeout);
 
-// Whether a request of `route` may start. `time_limit`: until the request's
-// deadline. `until_final`: until open requests get their final answers.
+// A request that arrives at a host that is shutting down.
+struct StoppingRequest {
+  Duration time_limit{};         // Until the request's deadline.
+  Duration until_final{};        // Until open requests get their final answers.
+  bool must_not_be_cut = false;  // It arrived after StopSchedule::no_cuts.
+};
+
+// Whether a request of `route` may start.
 //
-// A request that may run only once starts if its deadline comes before the
-// final answers; any other one also if it is likely to be answered by then.
+// A request that may run only once, or must not be cut, starts if its deadline
+// comes before the final answers; any other one also if it is likely to be
+// answered by then.
 bool MayStartWhileStopping(const AdmissionState& state,
                            const RequestRoute& route,
-                           Duration time_limit,
-                           Duration until_final);
+                           const StoppingRequest& request);
 
 }  // namespace sassafras
 
--- a/tests/gateway/stop_test.cc
+++ b/tests/gateway/stop_test.cc
@@ -83,8 +83,6 @@
   const char* name;
   size_t pipelined;
   SteadyCaller::MakeRequest make_request;
-  // Whether the endpoint's own answer must arrive for each request that it ran.
-  bool must_end;
 };
 
 std::string ChunkedUpload(const std::string& id) {
@@ -95,32 +93,28 @@
 }
 
 // Endpoints become slow while the host stops, so that its measured service
-// times are too short. Requests that arrive late in the stop must either be
-// answered or never reach an endpoint, and a refused one must not have run.
+// times are too short. Requests that arrive late in the stop must either get
+// their endpoint's answer or never reach an endpoint. Guards against reads that
+// were started by an estimate and answered 504 at the end of the stop.
 TEST_F(GatewayTest, StopCutsNoRequestOfCallersThatKeepSending) {
   const std::vector<SteadyCase> cases = {
       {"reads", 1,
-       [](const std::string& id) { return RequestText("GET", "/read/1", id); },
-       false},
+       [](const std::string& id) { return RequestText("GET", "/read/1", id); }},
       {"pipelined reads", 4,
-       [](const std::string& id) { return RequestText("GET", "/read/1", id); },
-       false},
+       [](const std::string& id) { return RequestText("GET", "/read/1", id); }},
       {"charges", 1,
        [](const std::string& id) {
          return RequestText("POST", "/charge/1", id, "", "amount=1");
-       },
-       true},
+       }},
       {"pipelined charges", 3,
        [](const std::string& id) {
          return RequestText("POST", "/charge/1", id, "", "amount=1");
-       },
-       true},
-      {"uploads in chunks", 1, &ChunkedUpload, true},
+       }},
+      {"uploads in chunks", 1, &ChunkedUpload},
       {"downloads", 1,
        [](const std::string& id) {
          return RequestText("GET", "/download/1", id);
-       },
-       false},
+       }},
   };
   // Time in the stop after which the endpoints turn slow.
   constexpr milliseconds kFastTime{1600};
@@ -161,10 +155,8 @@
       EXPECT_NE(it, statuses.end()) << id << " was cut";
       if (it == statuses.end())
         continue;
-      EXPECT_NE(it->second, 503) << id << " has run";
-      if (cases[i].must_end) {
-        EXPECT_EQ(it->second, 200) << id;
-      }
+      // Not an answer of the host's own in place of the endpoint's.
+      EXPECT_EQ(it->second, 200) << id;
     }
   }
 }
