Count silent crashes of endpoints under a request

Cause: only a broken connection counted as a crash.

Such a send is now kept for 15 s. If the registry shows in that time that the endpoint's process has ended without draining, and the endpoint has answered nothing since, it counts as a crash and is told to the other hosts like one. Slow endpoints and lossy links show no such end.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -6,6 +6,7 @@
 #include "base/hash.h"
 #include "base/http_status.h"
 #include "base/log.h"
+#include "gateway/crash_report.h"
 #include "platform/platform.h"
 #include "routing/stop_policy.h"
 
@@ -466,34 +467,20 @@
 }
 
 void GatewayExchange::RecordCrash(const Try& ended, TryOutcome outcome) {
-  if (ProvesNoCrash(outcome)) {
+  if (ProvesNoCrash(outcome))
     RecordAnswer(ended);
-    return;
-  }
-  if (outcome != TryOutcome::kBroken)
-    return;
   const EndpointView& endpoint = *ended.endpoint;
-  const uint64_t start = HashPair(
-      endpoint.hash, static_cast<uint64_t>(endpoint.record.started_at_ms));
   const Time now = state_.loop.Now();
-  if (!OnCrash(state_.crashes, request_hash_, static_cast<uint32_t>(start),
-               {ended.sent_at, now}, now))
-    return;
-  const size_t crashes = CountCrashes(state_.crashes, request_hash_);
-  const bool is_suspect = IsSuspect(state_.crashes, request_hash_);
-  LogLine(LogLevel::kInfo, "request",
-          "Endpoint broke off a request; counted as a crash.")
-      .With("id", request_.id)
-      .With("request", request_hash_)
-      .With("endpoint", endpoint.record.id)
-      .With("crashes", crashes)
-      .With("is_suspect", is_suspect);
-  if (!is_suspect)
-    return;
-  state_.metrics.Count("gateway_suspect_requests_total", "");
-  // Tells the other hosts now: the request may arrive again at once at any of
-  // them.
-  state_.announce();
+  if (ProvesAlive(outcome, ended.answer.status)) {
+    OnEndpointAnswered(state_.unanswered_sends, HashOfIncarnation(endpoint));
+  } else if (outcome == TryOutcome::kTimedOut) {
+    OnUnanswered(state_.unanswered_sends, HashOfIncarnation(endpoint),
+                 {request_hash_, request_.id, ended.sent_at, now});
+  } else if (outcome == TryOutcome::kBroken) {
+    ReportCrash(
+        state_,
+        {request_hash_, request_.id, &endpoint, {ended.sent_at, now}, false});
+  }
 }
 
 // Returns the connection to the pool if it can carry another request, else
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -21,6 +21,7 @@
 #include "routing/host_members.h"
 #include "routing/placement.h"
 #include "routing/steering_config.h"
+#include "routing/unanswered_sends.h"
 #include "routing/urgent_reserve.h"
 
 namespace sassafras {
@@ -42,6 +43,7 @@
   AdmissionState admission;
   BodySizes body_sizes;
   CrashHistory crashes;
+  UnansweredSends unanswered_sends;
   ServiceDemands demands;
   std::unordered_map<ServiceId, RetryAllowance> retries;
   EndpointConnectionPool pool;
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "gateway/crash_report.h"
 #include "platform/platform.h"
 
 namespace sassafras {
@@ -215,11 +216,14 @@
     MarkRegistryUnreliable(state_.endpoints, now);
   ApplyChanges(DropMissing(state_.endpoints, now));
   state_.pool.CloseExpired();
+  ExpireUnansweredSends(state_.unanswered_sends, now);
 }
 
 void StoreCacheFeed::ApplyChanges(const std::vector<EndpointChange>& changes) {
   for (const EndpointChange& it : changes) {
     LogChange(it);
+    if (it.ended_abruptly)
+      ReportSilentCrashes(state_, *it.endpoint);
     if (it.endpoint->state != EndpointState::kReady)
       state_.pool.CloseIdle(*it.endpoint);
   }
--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -69,6 +69,22 @@
   return outcome == TryOutcome::kAnswered;
 }
 
+bool ProvesAlive(TryOutcome outcome, int status) {
+  switch (outcome) {
+    case TryOutcome::kAnswered:
+    case TryOutcome::kFailed:
+      return true;
+    case TryOutcome::kNotRun:
+      return status != kHttpMisdirectedRequest;
+    case TryOutcome::kNotSent:
+    case TryOutcome::kBroken:
+    case TryOutcome::kBadAnswer:
+    case TryOutcome::kTimedOut:
+      return false;
+  }
+  return false;
+}
+
 int RefusalStatus(bool may_have_run) {
   return may_have_run ? kHttpBadGateway : kHttpServiceUnavailable;
 }
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -112,6 +112,11 @@
 // failed before it started to run the request.
 bool ProvesNoCrash(TryOutcome outcome);
 
+// Whether an attempt that ended with this outcome shows that the endpoint still
+// runs. `status`: of its answer, if it sent one. An answer of 421 (Misdirected
+// Request) comes from another endpoint at the same address.
+bool ProvesAlive(TryOutcome outcome, int status);
+
 // HTTP status of the answer by which a host refuses a request: 503 (Service
 // Unavailable) promises that the request has not run; if an attempt may have
 // run it, the status is 502 (Bad Gateway).
--- a/src/routing/crash_history.h
+++ b/src/routing/crash_history.h
@@ -33,7 +33,9 @@
 
 uint64_t HashOfRequest(const RequestTraits& request);
 
-// A send of a request during which the endpoint's connection broke.
+// A send of a request that ended with the endpoint's connection, or without an
+// answer of an endpoint that had crashed; see unanswered_sends.h. In the second
+// case, `crashed_at` is when the host stopped waiting.
 struct CrashedSend {
   Time sent_at;
   Time crashed_at;
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -29,7 +29,7 @@
 EndpointChange SetState(const EndpointPtr& endpoint,
                         EndpointState state,
                         Time now) {
-  EndpointChange change{endpoint, endpoint->state, false};
+  EndpointChange change{endpoint, endpoint->state, false, false};
   endpoint->state = state;
   endpoint->state_since = now;
   return change;
@@ -66,14 +66,23 @@
                                  const EndpointPtr& endpoint,
                                  Time now) {
   const bool answers = now - endpoint->last_success < kRecentSuccessWindow;
-  if (now >= set.registry_unreliable_until || !answers ||
-      endpoint->state == EndpointState::kDraining)
-    return Drop(set, endpoint, now);
+  const bool is_reliable = now >= set.registry_unreliable_until;
+  const bool was_draining = endpoint->state == EndpointState::kDraining;
+  if (is_reliable || !answers || was_draining) {
+    EndpointChange change = Drop(set, endpoint, now);
+    change.ended_abruptly = is_reliable && !was_draining;
+    return change;
+  }
   return SetState(endpoint, EndpointState::kMissing, now);
 }
 
 }  // namespace
 
+uint32_t HashOfIncarnation(const EndpointView& endpoint) {
+  return static_cast<uint32_t>(HashPair(
+      endpoint.hash, static_cast<uint64_t>(endpoint.record.started_at_ms)));
+}
+
 std::vector<EndpointChange> ApplyRecord(EndpointSet& set,
                                         const EndpointRecord& record,
                                         Time now) {
@@ -83,14 +92,16 @@
     // The record of an older incarnation may arrive after that of a newer one.
     if (record.started_at_ms < it->second->record.started_at_ms)
       return changes;
+    const bool was_draining = it->second->state == EndpointState::kDraining;
     changes.push_back(Drop(set, EndpointPtr(it->second), now));
+    changes.back().ended_abruptly = !was_draining;
   }
   const auto known = set.by_id.find(record.id);
   if (known == set.by_id.end()) {
     const EndpointPtr endpoint = MakeEndpoint(record, now);
     set.by_id[record.id] = endpoint;
     AddToService(set, endpoint);
-    changes.push_back({endpoint, endpoint->state, true});
+    changes.push_back({endpoint, endpoint->state, true, false});
     return changes;
   }
   const EndpointPtr endpoint = known->second;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -88,6 +88,9 @@
 
 using EndpointPtr = std::shared_ptr<EndpointView>;
 
+// Hash of the endpoint's id and start time, the same on all hosts.
+uint32_t HashOfIncarnation(const EndpointView& endpoint);
+
 struct EndpointSet {
   std::unordered_map<EndpointId, EndpointPtr> by_id;
   std::unordered_map<ServiceId, std::vector<EndpointPtr>> by_service;
@@ -110,6 +113,9 @@
   EndpointPtr endpoint;
   EndpointState from = EndpointState::kReady;  // State before the change.
   bool is_new = false;  // The endpoint was not known before.
+  // Its process has ended without draining before: it is back with a new start
+  // time, or its record was removed while the registry was reliable.
+  bool ended_abruptly = false;
 };
 
 // Applies a record that was added or changed. Ignores a record that is older
