Share memory for unsent answers among the open requests

Other operators report a host that kept an endless answer of a faulty endpoint and ran out of memory.

The limit of an answer's unsent bytes is now a sixteenth of the host's memory divided by the open requests, between 16 KB and 256 KB, and the buffer of a forwarded part is freed.

Three more rows of EndlessAnswersAreAborted and EndlessHeadsEndTheRequestEarly for the client of the entry hosts held from the start.

--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "gateway/exchange.h"
 #include "platform/platform.h"
+#include "routing/answer_buffers.h"
 
 namespace sassafras {
 
@@ -15,9 +16,6 @@
 // that the request can be tried again if the answer breaks off; a larger one
 // is streamed.
 constexpr size_t kMaxBufferedAnswerBytes = 64 << 10;
-// Buffered bytes of an answer to the caller, above which the endpoint is not
-// read from.
-constexpr size_t kMaxUnsentAnswerBytes = 256 << 10;
 // Bytes of interim answers and of answers to other requests that one try may
 // skip. Late answers are few; beyond this limit the try fails rather than wait
 // for its own answer.
@@ -206,13 +204,16 @@
                                                      : *head.content_length)});
     sink->Send(*this, FormatAnswerHead(t.answer.status, fields));
   }
-  if (has_body && !t.answer_body.empty())
-    sink->Send(*this, answer_chunked_ ? FormatChunk(t.answer_body)
-                                      : std::exchange(t.answer_body, {}));
-  t.answer_body.clear();
+  // Not cleared, which would keep the memory while the answer waits.
+  std::string body = std::exchange(t.answer_body, {});
+  if (has_body && !body.empty())
+    sink->Send(*this, answer_chunked_ ? FormatChunk(body) : std::move(body));
   if (complete && answer_chunked_)
     sink->Send(*this, std::string(kLastChunk));
-  if (!complete && t.stream && sink->UnsentBytes(*this) > kMaxUnsentAnswerBytes)
+  if (!complete && t.stream &&
+      sink->UnsentBytes(*this) >
+          MaxUnsentAnswerBytes(state_.settings.memory_bytes,
+                               state_.open_exchanges))
     t.stream->SetReading(false);
 }
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -172,6 +172,9 @@
   const std::vector<Case> cases = {
       {"noise", StandinBehavior::kEndlessGarbage, 502, kGiveUpTime},
       {"head", StandinBehavior::kEndlessHead, 502, kGiveUpTime},
+      {"line of the head", StandinBehavior::kEndlessHeadLine, 502, kGiveUpTime},
+      {"empty lines", StandinBehavior::kEndlessEmptyLines, 502, kGiveUpTime},
+      {"size of a chunk", StandinBehavior::kEndlessChunkSize, 502, kGiveUpTime},
       {"interim answers", StandinBehavior::kEndlessInterim, 502, kGiveUpTime},
       {"answer to another request", StandinBehavior::kEndlessForeignAnswer, 502,
        kGiveUpTime},
@@ -210,6 +213,47 @@
   EXPECT_EQ(Status(RequestText("GET", "/read/1", "e99")), 200);
 }
 
+// Guards against endless answers that are held behind an unanswered request:
+// each was held up to the limit for the answer that is being sent, and together
+// they exceeded the memory of a host.
+TEST_F(GatewayTest, EndlessAnswersBehindASlowOneHoldBoundedMemory) {
+  // Half of the smallest hosts' memory; the rest is needed for everything else.
+  constexpr size_t kMaxMemoryGrowthBytes = (112 << 20) / 2;
+  constexpr int kCallers = 20;
+  constexpr int kPipelined = 15;
+  // Enough slots for all requests at once.
+  constexpr int kEndpoints = 80;
+  StartOne(kEndpoints);
+  const size_t before = world_.ResidentMemoryOf(1);
+  std::vector<std::unique_ptr<PlatformStandinCaller>> callers;
+  for (PlatformStandinEndpoint* it : endpoints_)
+    it->set_work_time(milliseconds(1700));
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(Connect());
+    callers.back()->Send(
+        RequestText("GET", "/read/1", "m" + std::to_string(i)));
+  }
+  ASSERT_TRUE(
+      world_.RunUntil(kAnswerTimeout, [&] { return CountRuns() == kCallers; }));
+  for (PlatformStandinEndpoint* it : endpoints_)
+    it->set_work_time(milliseconds(5));
+  SetAct(StandinBehavior::kEndlessBody);
+  for (int k = 0; k < kPipelined; ++k) {
+    for (int i = 0; i < kCallers; ++i) {
+      callers[static_cast<size_t>(i)]->Send(
+          RequestText("GET", "/read/" + std::to_string(k),
+                      "m" + std::to_string(i) + "-" + std::to_string(k)));
+    }
+  }
+  size_t most = 0;
+  world_.RunUntil(milliseconds(1500), [&] {
+    most = std::max(most, world_.ResidentMemoryOf(1));
+    return false;
+  });
+  EXPECT_FALSE(world_.HasExited(1));
+  EXPECT_LT(most, before + kMaxMemoryGrowthBytes);
+}
+
 TEST_F(GatewayTest, BadRequestsReachNoEndpoint) {
   StartOne();
   struct Case {
