Count silent sends that end after the registry has shown the crash

An endpoint may be back, with a new start time, before the time limit of a request that silenced it, while the old connection stays open. Nothing followed that could count the crash: with the guard broken, 12 of 12 arrivals are sent in SilenceAfterARestartCountsAsACrash, at most the three allowed now.

The view of an endpoint, rather than the change, says that it ended abruptly; OnlyUnplannedEndsAreAbrupt tells planned ends and outages of the registry apart, and was seen to fail with its guard broken.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -471,15 +471,18 @@
     RecordAnswer(ended);
   const EndpointView& endpoint = *ended.endpoint;
   const Time now = state_.loop.Now();
+  const bool is_silent = outcome == TryOutcome::kTimedOut;
   if (ProvesAlive(outcome, ended.answer.status)) {
     OnEndpointAnswered(state_.unanswered_sends, HashOfIncarnation(endpoint));
-  } else if (outcome == TryOutcome::kTimedOut) {
+  } else if (is_silent && !endpoint.ended_abruptly) {
     OnUnanswered(state_.unanswered_sends, HashOfIncarnation(endpoint),
                  {request_hash_, request_.id, ended.sent_at, now});
-  } else if (outcome == TryOutcome::kBroken) {
-    ReportCrash(
-        state_,
-        {request_hash_, request_.id, &endpoint, {ended.sent_at, now}, false});
+  } else if (is_silent || outcome == TryOutcome::kBroken) {
+    ReportCrash(state_, {request_hash_,
+                         request_.id,
+                         &endpoint,
+                         {ended.sent_at, now},
+                         is_silent});
   }
 }
 
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -222,7 +222,7 @@
 void StoreCacheFeed::ApplyChanges(const std::vector<EndpointChange>& changes) {
   for (const EndpointChange& it : changes) {
     LogChange(it);
-    if (it.ended_abruptly)
+    if (it.endpoint->ended_abruptly)
       ReportSilentCrashes(state_, *it.endpoint);
     if (it.endpoint->state != EndpointState::kReady)
       state_.pool.CloseIdle(*it.endpoint);
--- a/src/routing/answer_buffers.cc
+++ b/src/routing/answer_buffers.cc
@@ -10,7 +10,7 @@
 constexpr uint64_t kMemoryParts = 16;
 // Less than this costs a system call for each few packets.
 constexpr uint64_t kMinUnsentBytes = 16 << 10;
-// More than this does not make a transfer faster.
+// Covers the bytes in flight on a connection between regions.
 constexpr uint64_t kMaxUnsentBytes = 256 << 10;
 
 }  // namespace
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -29,7 +29,7 @@
 EndpointChange SetState(const EndpointPtr& endpoint,
                         EndpointState state,
                         Time now) {
-  EndpointChange change{endpoint, endpoint->state, false, false};
+  EndpointChange change{endpoint, endpoint->state, false};
   endpoint->state = state;
   endpoint->state_since = now;
   return change;
@@ -69,9 +69,8 @@
   const bool is_reliable = now >= set.registry_unreliable_until;
   const bool was_draining = endpoint->state == EndpointState::kDraining;
   if (is_reliable || !answers || was_draining) {
-    EndpointChange change = Drop(set, endpoint, now);
-    change.ended_abruptly = is_reliable && !was_draining;
-    return change;
+    endpoint->ended_abruptly = is_reliable && !was_draining;
+    return Drop(set, endpoint, now);
   }
   return SetState(endpoint, EndpointState::kMissing, now);
 }
@@ -92,16 +91,16 @@
     // The record of an older incarnation may arrive after that of a newer one.
     if (record.started_at_ms < it->second->record.started_at_ms)
       return changes;
-    const bool was_draining = it->second->state == EndpointState::kDraining;
-    changes.push_back(Drop(set, EndpointPtr(it->second), now));
-    changes.back().ended_abruptly = !was_draining;
+    const EndpointPtr ended = it->second;
+    ended->ended_abruptly = ended->state != EndpointState::kDraining;
+    changes.push_back(Drop(set, ended, now));
   }
   const auto known = set.by_id.find(record.id);
   if (known == set.by_id.end()) {
     const EndpointPtr endpoint = MakeEndpoint(record, now);
     set.by_id[record.id] = endpoint;
     AddToService(set, endpoint);
-    changes.push_back({endpoint, endpoint->state, true, false});
+    changes.push_back({endpoint, endpoint->state, true});
     return changes;
   }
   const EndpointPtr endpoint = known->second;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -70,6 +70,10 @@
   EndpointState state = EndpointState::kReady;
   Time state_since;
   Time warm_at;  // The endpoint is cold before this time.
+  // With kGone: its process has ended without draining before. It is back with
+  // a new start time, or its record was removed while the registry was
+  // reliable.
+  bool ended_abruptly = false;
 
   // Requests of this host that the endpoint has not finished yet.
   int in_flight = 0;
@@ -113,9 +117,6 @@
   EndpointPtr endpoint;
   EndpointState from = EndpointState::kReady;  // State before the change.
   bool is_new = false;  // The endpoint was not known before.
-  // Its process has ended without draining before: it is back with a new start
-  // time, or its record was removed while the registry was reliable.
-  bool ended_abruptly = false;
 };
 
 // Applies a record that was added or changed. Ignores a record that is older
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -47,8 +47,7 @@
   std::vector<OtherRequest> others;
   bool starts_host = false;
   bool restarts_hosts = false;
-  // See PlatformStandinEndpoint::set_crashes_silently().
-  bool is_silent = false;
+  StandinCrash crash = StandinCrash::kClosesConnections;
   // The callers disconnect kPatience after sending.
   bool callers_leave = false;
 };
@@ -106,7 +105,8 @@
     const std::string id = std::to_string(round);
     const int status = StatusAt(host, RequestText("GET", "/read/2", "a" + id));
     // An endpoint that has just fallen silent cannot answer it.
-    const bool is_lost = it.is_silent && status == 504;
+    const bool is_lost =
+        it.crash != StandinCrash::kClosesConnections && status == 504;
     EXPECT_TRUE(status == 200 || is_lost) << id << ": " << status;
     for (const OtherRequest& other : it.others) {
       const int other_status =
@@ -135,7 +135,7 @@
 void CrashingRequestTest::Run(const CrashScenario& it) {
   Start();
   for (PlatformStandinEndpoint* endpoint : endpoints_)
-    endpoint->set_crashes_silently(it.is_silent);
+    endpoint->set_crash(it.crash);
   while (CountCrashes() < kCrashesBeforeStop &&
          crashing_requests_sent_ < kCrashingRequests) {
     SendCrashingRequest(it);
@@ -200,13 +200,13 @@
 // that falls silent ends a request by its time limit, which counted as nothing.
 TEST_F(CrashingRequestTest, ReadThatSilencesEndpointsIsNotSentOnEachArrival) {
   CrashScenario it{"GET", "/read/1", "", {}};
-  it.is_silent = true;
+  it.crash = StandinCrash::kSilent;
   Run(it);
 }
 
 TEST_F(CrashingRequestTest, ChargeThatSilencesEndpointsIsNotSentOnEachArrival) {
   CrashScenario it{"POST", "/charge/1", "amount=1", {}};
-  it.is_silent = true;
+  it.crash = StandinCrash::kSilent;
   Run(it);
 }
 
@@ -214,10 +214,18 @@
 // it break.
 TEST_F(CrashingRequestTest, CallersThatLeaveDoNotHideSilentCrashes) {
   CrashScenario it{"GET", "/read/1", "", {}};
-  it.is_silent = true;
+  it.crash = StandinCrash::kSilent;
   it.callers_leave = true;
   Run(it);
 }
 
+// The registry shows the restart before the request's time limit, and nothing
+// follows that could show it again.
+TEST_F(CrashingRequestTest, SilenceAfterARestartCountsAsACrash) {
+  CrashScenario it{"GET", "/read/1", "", {}};
+  it.crash = StandinCrash::kSilentForGood;
+  Run(it);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/routing/endpoint_set_test.cc
+++ b/tests/routing/endpoint_set_test.cc
@@ -47,6 +47,44 @@
   EXPECT_TRUE(set.by_service[ServiceId("s")].empty());
 }
 
+// Guards against taking planned ends, or records that an outage of the registry
+// removed, for crashes.
+TEST(EndpointSetTest, OnlyUnplannedEndsAreAbrupt) {
+  struct Case {
+    const char* name;
+    bool drains;
+    bool is_registry_reliable;
+    int64_t new_start_ms;  // Of the record that follows; 0: it is removed.
+    bool ended_abruptly;
+  };
+  const std::vector<Case> cases = {
+      {"back with a new start", false, true, 2, true},
+      {"removed", false, true, 0, true},
+      {"back after it drained", true, true, 2, false},
+      {"removed after it drained", true, true, 0, false},
+      {"back while the registry recovers", false, false, 2, true},
+      {"removed while the registry recovers", false, false, 0, false},
+      {"record written again", false, true, 1, false},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    EndpointSet set;
+    EndpointRecord record = MakeRecord("a");
+    record.draining = it.drains;
+    ApplyRecord(set, record, kStart);
+    if (!it.is_registry_reliable)
+      MarkRegistryUnreliable(set, kStart);
+    const EndpointPtr endpoint = Find(set, "a");
+    if (it.new_start_ms == 0)
+      ApplyRemoval(set, record.id, kStart);
+    else
+      ApplyRecord(set, MakeRecord("a", it.new_start_ms), kStart);
+    EXPECT_EQ(endpoint->ended_abruptly, it.ended_abruptly);
+    const EndpointPtr next = Find(set, "a");
+    EXPECT_FALSE(next && next != endpoint && next->ended_abruptly);
+  }
+}
+
 TEST(EndpointSetTest, EndpointWithMissingRecordIsKeptWhileTheRegistryRecovers) {
   EndpointSet set;
   ApplyRecord(set, MakeRecord("a"), kStart);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -257,23 +257,28 @@
   ++crashes_;
   accept_watch_.reset();
   listener_ = Socket();
-  if (crashes_silently_) {
+  if (crash_ == StandinCrash::kClosesConnections) {
+    CloseConnections();
+  } else {
     for (const auto& it : connections_) {
       it->answer_timer.reset();
       it->endless_timer.reset();
       it->stream->SetReading(false);
     }
-  } else {
-    CloseConnections();
   }
-  restart_timer_ = loop_.After(
-      crashes_silently_ ? kStandinSilentRestartDelay : kStandinRestartDelay,
-      [this] {
-        CloseConnections();
-        StartListening();
-        if (on_restart_)
-          on_restart_();
-      });
+  if (crash_ == StandinCrash::kSilentForGood) {
+    for (auto& it : std::exchange(connections_, {}))
+      silent_connections_.push_back(std::move(it));
+  }
+  restart_timer_ =
+      loop_.After(crash_ == StandinCrash::kSilent ? kStandinSilentRestartDelay
+                                                  : kStandinRestartDelay,
+                  [this] {
+                    CloseConnections();
+                    StartListening();
+                    if (on_restart_)
+                      on_restart_();
+                  });
 }
 
 void PlatformStandinEndpoint::CloseConnections() {
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -134,8 +134,18 @@
   kEndlessBody,           // The answer's own body.
 };
 
-// Time from the crash of a stand-in endpoint to its restart. A silent crash
-// lasts longer than the time limit of the requests.
+// What a stand-in endpoint does with its connections when it crashes.
+enum class StandinCrash {
+  kClosesConnections,
+  // Reads and sends nothing more on them. Closes them at its restart, which
+  // follows after kStandinSilentRestartDelay.
+  kSilent,
+  // Reads and sends nothing more on them, even after its restart.
+  kSilentForGood,
+};
+
+// Time from the crash of a stand-in endpoint to its restart. kSilent lasts
+// longer than the time limit of the requests.
 inline constexpr std::chrono::milliseconds kStandinRestartDelay{1000};
 inline constexpr std::chrono::milliseconds kStandinSilentRestartDelay{4500};
 
@@ -179,10 +189,7 @@
   using CrashRule =
       std::function<bool(const HttpHead& head, const std::string& body)>;
   void set_crash_rule(CrashRule rule) { crash_rule_ = std::move(rule); }
-  // A silent crash leaves the connections open, but reads and sends nothing
-  // more on them. They are closed at the restart, after
-  // kStandinSilentRestartDelay.
-  void set_crashes_silently(bool silently) { crashes_silently_ = silently; }
+  void set_crash(StandinCrash crash) { crash_ = crash; }
   void set_on_restart(std::function<void()> fn) { on_restart_ = std::move(fn); }
   int crashes() const { return crashes_; }
   // The endpoint's record, as an object's specification in the store.
@@ -222,10 +229,12 @@
   CrashRule crash_rule_;
   std::function<void()> on_restart_;
   int crashes_ = 0;
-  bool crashes_silently_ = false;
+  StandinCrash crash_ = StandinCrash::kClosesConnections;
   size_t head_bytes_sent_ = 0;
   size_t head_size_ = 0;
   std::vector<std::shared_ptr<Connection>> connections_;
+  // Of crashes of kSilentForGood.
+  std::vector<std::shared_ptr<Connection>> silent_connections_;
   std::vector<Run> runs_;
   int arrivals_ = 0;
   int cancelled_ = 0;
