--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -125,6 +125,8 @@
   void OnAnswerData(std::string_view data);
   void ReadAnswers();
   bool OnAnswerHead();
+  // Applies what the endpoint says about itself in an answer.
+  void OnNotices(const WireAnswer& answer);
   bool OnAnswerEnd();
   void ForwardAnswer(bool complete);
   void OnStreamEnd(StreamEnd end);
@@ -143,6 +145,7 @@
   void RecordOutcome(const Try& ended, TryOutcome outcome);
   void RecordCrash(const Try& ended, TryOutcome outcome);
   void RecordAnswer(const Try& ended);
+  void RecordSendToLeaver() const;
   void LogTry(const Try& ended, TryOutcome outcome, NextStep step) const;
   Duration TimeLeft() const;
   uint64_t HashOfId() const;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -107,6 +107,7 @@
     return true;
   }
   t.has_answer = true;
+  OnNotices(t.answer);
   last_reported_load_ = t.answer.load;
   if (t.answer.load) {
     OnReport(*t.endpoint, {t.answer.load->running, t.answer.load->waiting,
@@ -126,6 +127,25 @@
   return true;
 }
 
+void GatewayExchange::OnNotices(const WireAnswer& answer) {
+  // An answer of 421 (Misdirected Request) comes from another endpoint, which
+  // has taken over the address.
+  if (!answer.is_leaving || answer.status == kHttpMisdirectedRequest)
+    return;
+  const EndpointView& endpoint = *try_->endpoint;
+  if (!OnLeaving(state_.endpoints, endpoint.incarnation, state_.loop.Now()))
+    return;
+  state_.metrics.Count("gateway_leaving_notices_total", "source=\"answer\"");
+  LogLine(LogLevel::kInfo, "endpoints", "Endpoint is leaving.")
+      .With("endpoint", endpoint.record.id)
+      .With("source", "answer")
+      .With("id", request_.id)
+      .With("status", answer.status)
+      .With("registry_state", NameOf(endpoint.state))
+      .With("registry_state_ms",
+            Millis(state_.loop.Now() - endpoint.state_since));
+}
+
 // Handles a complete answer; returns true if the try has ended.
 bool GatewayExchange::OnAnswerEnd() {
   Try& t = *try_;
@@ -134,6 +154,9 @@
     StartReading();
     return false;
   }
+  // The fields of a trailer have been added to the head.
+  if (t.reader->head().chunked)
+    OnNotices(platform::DecodeAnswer(t.reader->head()));
   if (t.answer.proves_not_run)
     EndTry(TryOutcome::kNotRun);
   else if (t.answer.status >= kHttpInternalServerError)
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -20,6 +20,7 @@
       {"in_flight", it.in_flight},
       {"estimated_load", EstimatedLoad(it, now)},
       {"report_age_ms", it.has_report ? Millis(now - it.report.at) : -1},
+      {"is_leaving", IsLeaving(it.notice)},
       {"failures_in_row", it.failures_in_row},
       {"is_ejected", now < it.ejected_until}};
 }
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -217,6 +217,7 @@
   ApplyChanges(DropMissing(state_.endpoints, now));
   state_.pool.CloseExpired();
   ExpireUnansweredSends(state_.unanswered_sends, now);
+  ExpireNotices(state_.endpoints, now);
 }
 
 void StoreCacheFeed::ApplyChanges(const std::vector<EndpointChange>& changes) {
--- a/src/gateway/wire_types.h
+++ b/src/gateway/wire_types.h
@@ -46,6 +46,8 @@
     int slots = 0;    // Requests that it can run at once.
   };
   std::optional<Load> load;
+  // The endpoint is about to end and wants no further requests.
+  bool is_leaving = false;
   // Keep-Alive timeout: how long the endpoint keeps an idle connection open.
   std::optional<Duration> idle_timeout;
   HttpFields forwarded;  // Sent to the caller unchanged.
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -1,6 +1,7 @@
 #include "routing/endpoint_set.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/hash.h"
@@ -43,10 +44,17 @@
   return change;
 }
 
-EndpointPtr MakeEndpoint(const EndpointRecord& record, Time now) {
+EndpointPtr MakeEndpoint(const EndpointNotices& notices,
+                         const EndpointRecord& record,
+                         Time now) {
   auto endpoint = std::make_shared<EndpointView>();
   endpoint->record = record;
   endpoint->hash = HashText(record.id.value());
+  endpoint->incarnation =
+      HashPair(endpoint->hash, static_cast<uint64_t>(record.started_at_ms));
+  const auto known = notices.by_incarnation.find(endpoint->incarnation);
+  if (known != notices.by_incarnation.end())
+    endpoint->notice = known->second.notice;
   endpoint->state =
       record.draining ? EndpointState::kDraining : EndpointState::kReady;
   endpoint->state_since = now;
@@ -77,11 +85,6 @@
 
 }  // namespace
 
-uint32_t HashOfIncarnation(const EndpointView& endpoint) {
-  return static_cast<uint32_t>(HashPair(
-      endpoint.hash, static_cast<uint64_t>(endpoint.record.started_at_ms)));
-}
-
 std::vector<EndpointChange> ApplyRecord(EndpointSet& set,
                                         const EndpointRecord& record,
                                         Time now) {
@@ -97,7 +100,7 @@
   }
   const auto known = set.by_id.find(record.id);
   if (known == set.by_id.end()) {
-    const EndpointPtr endpoint = MakeEndpoint(record, now);
+    const EndpointPtr endpoint = MakeEndpoint(set.notices, record, now);
     set.by_id[record.id] = endpoint;
     AddToService(set, endpoint);
     changes.push_back({endpoint, endpoint->state, true});
@@ -207,6 +210,34 @@
          now - endpoint.last_success < kRecentSuccessWindow;
 }
 
+bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time now) {
+  if (set.notices.by_incarnation.count(incarnation) > 0)
+    return false;
+  bool is_new = RecordLeaving(set.notices, incarnation, now);
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (endpoint->incarnation != incarnation || IsLeaving(endpoint->notice))
+      continue;
+    endpoint->notice.leaving_since = now;
+    is_new = true;
+  }
+  return is_new;
+}
+
+void ExpireNotices(EndpointSet& set, Time now) {
+  auto& entries = set.notices.by_incarnation;
+  if (entries.empty())
+    return;
+  for (const auto& [id, endpoint] : set.by_id) {
+    const auto it = IsLeaving(endpoint->notice)
+                        ? entries.find(endpoint->incarnation)
+                        : entries.end();
+    if (it != entries.end())
+      it->second.expires_at = now + kNoticeLifetime;
+  }
+  for (auto it = entries.begin(); it != entries.end();)
+    it = now >= it->second.expires_at ? entries.erase(it) : std::next(it);
+}
+
 void OnSent(EndpointView& endpoint) {
   ++endpoint.in_flight;
   ++endpoint.sent_since_report;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -19,6 +19,7 @@
 #include "base/ids.h"
 #include "base/names_table.h"
 #include "base/time.h"
+#include "routing/endpoint_notices.h"
 
 namespace sassafras {
 
@@ -67,6 +68,8 @@
 struct EndpointView {
   EndpointRecord record;
   uint64_t hash = 0;  // Hash of the id, for rendezvous hashing.
+  // Hash of the id and the start time, the same on all hosts.
+  uint64_t incarnation = 0;
   EndpointState state = EndpointState::kReady;
   Time state_since;
   Time warm_at;  // The endpoint is cold before this time.
@@ -88,17 +91,21 @@
   Time last_success;
   // Earliest time of this host's next request while the endpoint is cold.
   Time next_cold_send;
+  EndpointNotice notice;
 };
 
 using EndpointPtr = std::shared_ptr<EndpointView>;
 
-// Hash of the endpoint's id and start time, the same on all hosts.
-uint32_t HashOfIncarnation(const EndpointView& endpoint);
+// The lower half of EndpointView::incarnation, for messages that carry many.
+inline uint32_t HashOfIncarnation(const EndpointView& endpoint) {
+  return static_cast<uint32_t>(endpoint.incarnation);
+}
 
 struct EndpointSet {
   std::unordered_map<EndpointId, EndpointPtr> by_id;
   std::unordered_map<ServiceId, std::vector<EndpointPtr>> by_service;
   std::set<ZoneId> evacuated;
+  EndpointNotices notices;
   // Before this time, a missing record does not prove that its endpoint has
   // left.
   Time registry_unreliable_until;
@@ -167,6 +174,14 @@
 // of an ejection. An endpoint without a record must have answered recently.
 bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now);
 
+// The incarnation has said in an answer that it is leaving. Returns false if
+// this is known.
+bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time now);
+
+// Removes notices of incarnations that are not in the set, after
+// kNoticeLifetime.
+void ExpireNotices(EndpointSet& set, Time now);
+
 inline bool IsCold(const EndpointView& endpoint, Time now) {
   return now < endpoint.warm_at;
 }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -281,5 +281,36 @@
   EXPECT_FALSE(DecodeAnswer(head).idle_timeout);
 }
 
+TEST(PlatformWireTest, DecodesLeaving) {
+  struct Case {
+    const char* name;
+    int status;
+    HttpFields fields;
+    bool is_leaving;
+  };
+  const std::vector<Case> cases = {
+      {"none", 200, {}, false},
+      {"leaving", 200, {{"Server-Leaving", "1"}}, true},
+      {"refusal", 503, {{"Server-Leaving", "1"}}, true},
+      {"other case", 500, {{"server-leaving", " 1 "}}, true},
+      {"said twice",
+       200,
+       {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}},
+       true},
+      {"not leaving", 200, {{"Server-Leaving", "0"}}, false},
+      {"no value", 200, {{"Server-Leaving", ""}}, false},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    HttpHead head;
+    head.status = it.status;
+    head.fields = it.fields;
+    const WireAnswer answer = DecodeAnswer(head);
+    EXPECT_EQ(answer.is_leaving, it.is_leaving);
+    // Callers get the endpoint's fields unchanged.
+    EXPECT_EQ(answer.forwarded.size(), it.fields.size());
+  }
+}
+
 }  // namespace
 }  // namespace sassafras::platform
