Failing tests: endpoints that leave by their answers get further requests

Stand-in endpoints can say in the head or the trailer of any answer that they are leaving, refuse with 429 and Retry-After, and start again.

--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -47,6 +47,14 @@
   return std::move(result.value());
 }
 
+// Fields with the empty line that ends them.
+std::string FormatFields(const HttpFields& fields) {
+  std::string out;
+  for (const HttpField& it : fields)
+    out += it.name + ": " + it.value + "\r\n";
+  return out + "\r\n";
+}
+
 }  // namespace
 
 PlatformStandinStore::PlatformStandinStore(Loop& loop, const Address& listen)
@@ -253,8 +261,26 @@
              sizeof(kReceiveBufferBytes));
 }
 
+void PlatformStandinEndpoint::Restart() {
+  ++crashes_;
+  is_leaving_ = false;
+  on_restart_();
+}
+
+void PlatformStandinEndpoint::AddNotices(HttpFields& fields) const {
+  if (is_leaving_)
+    fields.push_back({"Server-Leaving", "1"});
+}
+
+size_t PlatformStandinEndpoint::CountRunning() const {
+  return static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& it) { return it->answer_timer != nullptr; }));
+}
+
 void PlatformStandinEndpoint::Crash() {
   ++crashes_;
+  is_leaving_ = false;
   accept_watch_.reset();
   listener_ = Socket();
   if (crash_ == StandinCrash::kClosesConnections) {
@@ -358,27 +384,30 @@
 
 void PlatformStandinEndpoint::HandleRequest(
     const std::shared_ptr<Connection>& connection) {
-  ++arrivals_;
   const HttpHead head = connection->reader->head();
   const std::string* id = FindField(head.fields, "Request-Id");
   const std::string request_id = id ? *id : "";
+  arrivals_.push_back({request_id, loop_.Now()});
   const std::string* target_id = FindField(head.fields, "Target-Instance");
   const std::string body = std::exchange(connection->body, {});
   connection->reader = NewRequestReader(kLimits);
   const bool is_misdirected = behavior_ == StandinBehavior::kMisdirected ||
                               (target_id && *target_id != id_);
-  if (is_misdirected || behavior_ == StandinBehavior::kShed) {
-    // Refuses only after the work time, as if the request had been queued.
-    connection->answer_timer = loop_.After(work_time_, [connection, request_id,
-                                                        is_misdirected] {
-      connection->answer_timer.reset();
-      HttpFields fields = {{"Request-Id", request_id}, {"Content-Length", "0"}};
-      if (!is_misdirected)
-        fields.push_back({"Not-Executed", "1"});
-      connection->last_refusal =
-          FormatAnswerHead(is_misdirected ? 421 : 503, fields);
-      connection->stream->Write(connection->last_refusal);
-    });
+  const bool is_full = max_running_ > 0 && CountRunning() >= max_running_;
+  const bool is_shed = is_full || behavior_ == StandinBehavior::kShed ||
+                       behavior_ == StandinBehavior::kShedTooMany;
+  if (is_misdirected || is_shed) {
+    // Refuses only after the work time, as if the request had been queued, or
+    // at once if it is full.
+    const int status = is_misdirected                               ? 421
+                       : behavior_ == StandinBehavior::kShedTooMany ? 429
+                                                                    : 503;
+    connection->answer_timer =
+        loop_.After(is_full ? Duration(0) : work_time_,
+                    [this, connection, request_id, status] {
+                      connection->answer_timer.reset();
+                      SendRefusal(connection, request_id, status);
+                    });
     return;
   }
   runs_.push_back({request_id, head, body, loop_.Now()});
@@ -401,6 +430,22 @@
       });
 }
 
+void PlatformStandinEndpoint::SendRefusal(
+    const std::shared_ptr<Connection>& connection,
+    const std::string& request_id,
+    int status) {
+  HttpFields fields = {{"Request-Id", request_id}, {"Content-Length", "0"}};
+  if (status != 421) {
+    refusals_.push_back({request_id, retry_after_, loop_.Now()});
+    fields.push_back({"Not-Executed", "1"});
+    if (!retry_after_.empty())
+      fields.push_back({"Retry-After", retry_after_});
+    AddNotices(fields);
+  }
+  connection->last_refusal = FormatAnswerHead(status, fields);
+  connection->stream->Write(connection->last_refusal);
+}
+
 bool PlatformStandinEndpoint::is_sending_endlessly() const {
   return std::any_of(
       connections_.begin(), connections_.end(),
@@ -434,6 +479,19 @@
                        {"Server-Load", "1,0,4"},
                        {"Keep-Alive", "timeout=10"},
                        {"Content-Length", std::to_string(body.size())}};
+  // Before the field that some behaviors take off or replace.
+  const HttpField length = fields.back();
+  fields.pop_back();
+  if (uses_trailer_ && behavior_ == StandinBehavior::kAnswer) {
+    HttpFields trailer;
+    AddNotices(trailer);
+    fields.push_back({"Transfer-Encoding", "chunked"});
+    stream.Write(FormatAnswerHead(200, fields) + FormatChunk(body) + "0\r\n" +
+                 FormatFields(trailer));
+    return;
+  }
+  AddNotices(fields);
+  fields.push_back(length);
   switch (behavior_) {
     case StandinBehavior::kCloseWithoutAnswer:
       stream.Close();
@@ -513,6 +571,12 @@
     case StandinBehavior::kServerError:
       stream.Write(FormatAnswerHead(500, fields) + body);
       return;
+    case StandinBehavior::kTimeout:
+      stream.Write(FormatAnswerHead(504, fields) + body);
+      return;
+    case StandinBehavior::kNotFound:
+      stream.Write(FormatAnswerHead(404, fields) + body);
+      return;
     case StandinBehavior::kUnprovenRefusal:
       stream.Write(FormatAnswerHead(503, fields) + body);
       return;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -103,6 +103,7 @@
 enum class StandinBehavior {
   kAnswer,
   kShed,                // Does not run the request; answers 503 and says so.
+  kShedTooMany,         // Like kShed, with 429.
   kCloseWithoutAnswer,  // Runs it and closes the connection without an answer.
   kTruncatedBody,  // Closes the connection in the middle of the answer's body.
   kUnsigned,       // Answers without its signature.
@@ -112,6 +113,8 @@
   // and resets the connection in the middle of it.
   kEarlyUnframedReset,
   kServerError,  // Answers 500 with its signature.
+  kNotFound,     // Answers 404 with its signature.
+  kTimeout,      // Answers 504 with its signature.
   kMisdirected,  // Answers 421, as if the request were for another endpoint.
   kUnprovenRefusal,  // Runs it and answers 503 without proof that it did not.
   kShedWithoutRequestId,  // Runs it; writes a refusal that names no request,
@@ -163,13 +166,34 @@
   };
   // Requests that it ran, in order.
   const std::vector<Run>& runs() const { return runs_; }
-  // Number of requests received, whether run or refused.
-  int arrivals() const { return arrivals_; }
+  struct Arrival {
+    std::string request_id;
+    Time at;
+  };
+  // Requests received, whether run or refused.
+  const std::vector<Arrival>& all_arrivals() const { return arrivals_; }
+  int arrivals() const { return static_cast<int>(arrivals_.size()); }
+  struct Refusal {
+    std::string request_id;
+    std::string retry_after;  // Value of Retry-After; empty: not sent.
+    Time at;
+  };
+  // Requests refused because of kShed or set_max_running().
+  const std::vector<Refusal>& refusals() const { return refusals_; }
   // Whether an endless answer is being sent.
   bool is_sending_endlessly() const;
   // Number of requests whose connection ended before they were answered.
   int cancelled() const { return cancelled_; }
   void set_behavior(StandinBehavior behavior) { behavior_ = behavior; }
+  // Says in all answers that it is leaving. A crash ends that.
+  void set_leaving(bool leaving) { is_leaving_ = leaving; }
+  // Says so in the trailer of its answers of kAnswer rather than in the head.
+  void set_uses_trailer(bool on) { uses_trailer_ = on; }
+  // Value of Retry-After in refusals of kShed; empty: none.
+  void set_retry_after(std::string value) { retry_after_ = std::move(value); }
+  // Requests that run at the same time, above which it refuses further ones as
+  // with kShed; 0: no limit.
+  void set_max_running(size_t n) { max_running_ = n; }
   // Time from the receipt of a request to its answer or refusal.
   void set_work_time(Duration work_time) { work_time_ = work_time; }
   // Gives connections that are accepted from now on the segments and receive
@@ -192,6 +216,8 @@
   void set_crash(StandinCrash crash) { crash_ = crash; }
   void set_on_restart(std::function<void()> fn) { on_restart_ = std::move(fn); }
   int crashes() const { return crashes_; }
+  // Ends its leaving, and registers with a new start time.
+  void Restart();
   // The endpoint's record, as an object's specification in the store.
   nlohmann::json Record(const std::string& service,
                         const std::string& zone) const;
@@ -208,12 +234,18 @@
   };
   void StartListening();
   void Crash();
+  // Adds what the endpoint says about itself to the fields of an answer.
+  void AddNotices(HttpFields& fields) const;
+  size_t CountRunning() const;
   void CloseConnections();
   void Accept();
   void OnData(const std::shared_ptr<Connection>& connection,
               std::string_view data);
   void SendEarlyUnframedReset(const std::shared_ptr<Connection>& connection);
   void HandleRequest(const std::shared_ptr<Connection>& connection);
+  void SendRefusal(const std::shared_ptr<Connection>& connection,
+                   const std::string& request_id,
+                   int status);
   void SendAnswer(const std::shared_ptr<Connection>& connection,
                   const std::string& id);
   void SendEndlessly(const std::shared_ptr<Connection>& connection,
@@ -230,13 +262,18 @@
   std::function<void()> on_restart_;
   int crashes_ = 0;
   StandinCrash crash_ = StandinCrash::kClosesConnections;
+  bool is_leaving_ = false;
+  bool uses_trailer_ = false;
+  std::string retry_after_;
+  size_t max_running_ = 0;
   size_t head_bytes_sent_ = 0;
   size_t head_size_ = 0;
   std::vector<std::shared_ptr<Connection>> connections_;
   // Of crashes of kSilentForGood.
   std::vector<std::shared_ptr<Connection>> silent_connections_;
   std::vector<Run> runs_;
-  int arrivals_ = 0;
+  std::vector<Arrival> arrivals_;
+  std::vector<Refusal> refusals_;
   int cancelled_ = 0;
   StandinBehavior behavior_ = StandinBehavior::kAnswer;
   Duration work_time_ = std::chrono::milliseconds(5);
