Send nothing more to endpoints that say in an answer that they leave

Cause: no code read the field. The record in the registry alone decided who leaves, so a host whose store was down, slow or stale sent on.

An answer's word, kept by incarnation, now counts as much as the record's, holds whatever the registry says later, and is gossiped. EligibilityOf() is the only decision whether an endpoint may get requests, and names the reason. It is asked again once a connection is established: a request that waited for one was sent to endpoints that had drained, gone or been evacuated meanwhile.

--- a/src/gateway/endpoint_connection_pool.cc
+++ b/src/gateway/endpoint_connection_pool.cc
@@ -39,9 +39,7 @@
                                  Duration idle_timeout) {
   const Duration idle = std::min(idle_timeout - kIdleMargin, kMaxIdleTime);
   auto& list = idle_connections_[endpoint.get()];
-  const bool is_wanted = endpoint->state == EndpointState::kReady ||
-                         endpoint->state == EndpointState::kMissing;
-  if (idle <= Duration(0) || list.size() >= kMaxIdlePerEndpoint || !is_wanted) {
+  if (idle <= Duration(0) || list.size() >= kMaxIdlePerEndpoint) {
     stream->Close();
     return;
   }
--- a/src/gateway/endpoint_connection_pool.h
+++ b/src/gateway/endpoint_connection_pool.h
@@ -28,8 +28,8 @@
                                Duration max_idle_time);
   // Adds a connection whose last answer is complete. `idle_timeout` is the
   // time after which the endpoint closes an idle connection. Closes the
-  // connection if it would expire at once, the pool is full for this endpoint,
-  // or the endpoint accepts no new requests.
+  // connection if it would expire at once or the pool is full for this
+  // endpoint.
   void Put(const EndpointPtr& endpoint,
            const std::shared_ptr<Stream>& stream,
            Duration idle_timeout);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -350,7 +350,31 @@
 
 void GatewayExchange::OnConnected() {
   connect_timer_.reset();
-  SendRequest();
+  if (!WithholdIfIneligible())
+    SendRequest();
+}
+
+// Ends the try if the endpoint may no longer get requests: a record or an
+// answer may have said so while the connection was established. Returns whether
+// it did.
+bool GatewayExchange::WithholdIfIneligible() {
+  const EndpointPtr& endpoint = try_->endpoint;
+  const Eligibility eligibility =
+      EligibilityOf(state_.endpoints, *endpoint, state_.loop.Now());
+  if (eligibility == Eligibility::kEligible)
+    return false;
+  LogLine(LogLevel::kInfo, "request", "Withheld a request from an endpoint.")
+      .With("id", request_.id)
+      .With("endpoint", endpoint->record.id)
+      .With("eligibility", NameOf(eligibility));
+  // Deferred to a later turn, since TryNext() may be on the call stack.
+  state_.loop.Post([weak = weak_from_this(), endpoint] {
+    const auto self = weak.lock();
+    if (self && self->try_ && self->try_->endpoint == endpoint &&
+        !self->try_->head_sent)
+      self->EndTry(TryOutcome::kWithheld);
+  });
+  return true;
 }
 
 void GatewayExchange::SendRequest() {
@@ -461,6 +485,7 @@
       break;
     case TryOutcome::kFailed:
     case TryOutcome::kTimedOut:
+    case TryOutcome::kWithheld:
       break;
     case TryOutcome::kNotSent:
     case TryOutcome::kBroken:
@@ -519,7 +544,8 @@
   const bool is_reusable = is_whole && t.request_sent && t.input.empty() &&
                            t.stream->can_send() && t.stream->pending() == 0 &&
                            t.reader->state() == HttpReadState::kComplete &&
-                           t.reader->head().keep_alive;
+                           t.reader->head().keep_alive &&
+                           CountsAsCapacity(state_.endpoints, *t.endpoint);
   if (is_reusable)
     state_.pool.Put(t.endpoint, t.stream,
                     t.answer.idle_timeout.value_or(kDefaultIdleTimeout));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -117,6 +117,7 @@
   void TryNext();
   void Connect(const EndpointPtr& endpoint);
   void OnConnected();
+  bool WithholdIfIneligible();
   void SendRequest();
   void SendBody();
   void OnEndpointDrained();
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -133,8 +133,10 @@
   if (!answer.is_leaving || answer.status == kHttpMisdirectedRequest)
     return;
   const EndpointView& endpoint = *try_->endpoint;
-  if (!OnLeaving(state_.endpoints, endpoint.incarnation, state_.loop.Now()))
+  const Time now = state_.loop.Now();
+  if (!OnLeaving(state_.endpoints, endpoint.incarnation, now, now))
     return;
+  state_.pool.CloseIdle(endpoint);
   state_.metrics.Count("gateway_leaving_notices_total", "source=\"answer\"");
   LogLine(LogLevel::kInfo, "endpoints", "Endpoint is leaving.")
       .With("endpoint", endpoint.record.id)
@@ -142,8 +144,7 @@
       .With("id", request_.id)
       .With("status", answer.status)
       .With("registry_state", NameOf(endpoint.state))
-      .With("registry_state_ms",
-            Millis(state_.loop.Now() - endpoint.state_since));
+      .With("registry_state_ms", Millis(now - endpoint.state_since));
 }
 
 // Handles a complete answer; returns true if the try has ended.
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -148,10 +148,16 @@
   for (const CrashNotice& it : message.crashes) {
     crashes.push_back(ToJsonArray(it));
   }
+  Json leavings = Json::array();
+  for (const LeavingNotice& it : message.leavings) {
+    leavings.push_back(it.incarnation);
+    leavings.push_back(ToMillis(it.age));
+  }
   std::string out;
   Json::to_cbor(
       Json::array({kProtocolVersion, std::move(notices), std::move(beats),
-                   std::move(demands), Json::array(), std::move(crashes)}),
+                   std::move(demands), Json::array(), std::move(crashes),
+                   std::move(leavings)}),
       out);
   return out;
 }
@@ -188,6 +194,13 @@
     const Json crashes = json.size() > 5 ? json[5] : Json::array();
     for (const Json& it : crashes)
       out.crashes.push_back(ParseCrashNotice(it));
+    // Hosts that run an earlier release send no leavings.
+    const Json leavings = json.size() > 6 ? json[6] : Json::array();
+    for (size_t i = 0; i + 1 < leavings.size(); i += 2) {
+      out.leavings.push_back(
+          {IntegerAt<uint64_t>(leavings, i),
+           std::chrono::milliseconds(IntegerAt<uint32_t>(leavings, i + 1))});
+    }
     return out;
   } catch (const std::exception& e) {
     return fail(e.what());
@@ -233,6 +246,7 @@
     const Time now = state_.loop.Now();
     const GossipResult news = OnGossip(state_.members, message, now);
     ApplyCrashNotices(message);
+    ApplyLeavings(message);
     for (const HostId& it : news.appeared)
       LogLine(LogLevel::kInfo, "members", "Heard from a new or silent host.")
           .With("host", it);
@@ -261,10 +275,33 @@
   }
 }
 
+void Gossip::ApplyLeavings(const GossipMessage& message) {
+  const Time now = state_.loop.Now();
+  for (const LeavingNotice& it : message.leavings) {
+    if (!OnLeaving(state_.endpoints, it.incarnation, now - it.age, now))
+      continue;
+    const EndpointPtr endpoint =
+        FindIncarnation(state_.endpoints, it.incarnation);
+    // The record may still arrive.
+    if (!endpoint)
+      continue;
+    state_.pool.CloseIdle(*endpoint);
+    state_.metrics.Count("gateway_leaving_notices_total", "source=\"host\"");
+    LogLine(LogLevel::kInfo, "endpoints", "Endpoint is leaving.")
+        .With("endpoint", endpoint->record.id)
+        .With("source", message.notices.empty() ? HostId("-")
+                                                : message.notices.front().id)
+        .With("age_ms", Millis(it.age))
+        .With("registry_state", NameOf(endpoint->state))
+        .With("registry_state_ms", Millis(now - endpoint->state_since));
+  }
+}
+
 void Gossip::SendFullMessage(const std::string& ip) {
   const Time now = state_.loop.Now();
   GossipMessage message = FullSyncMessage(state_.members, now);
   message.crashes = CollectCrashNotices(state_.crashes, now);
+  message.leavings = CollectLeavings(state_.endpoints.notices, true, now);
   Send(message, {ip});
 }
 
@@ -277,6 +314,11 @@
   ExpireCrashes(state_.crashes, now);
   round.message.crashes = CollectCrashNotices(state_.crashes, now);
   round.full_sync.crashes = round.message.crashes;
+  round.message.leavings =
+      CollectLeavings(state_.endpoints.notices, false, now);
+  if (!round.full_sync_to_ip.empty())
+    round.full_sync.leavings =
+        CollectLeavings(state_.endpoints.notices, true, now);
   Send(round.message, round.to_ips);
   if (!round.full_sync_to_ip.empty())
     Send(round.full_sync, {round.full_sync_to_ip});
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -44,6 +44,7 @@
   void OnReadable();
   void RunRound();
   void ApplyCrashNotices(const GossipMessage& message);
+  void ApplyLeavings(const GossipMessage& message);
   // Sends all notices in full, rather than as heartbeat counts.
   void SendFullMessage(const std::string& ip);
   void Send(const GossipMessage& message,
--- a/src/routing/attempt.cc
+++ b/src/routing/attempt.cc
@@ -53,7 +53,8 @@
   if (state.outcome == TryOutcome::kAnswered ||
       state.outcome == TryOutcome::kTimedOut)
     return false;
-  if (state.outcome == TryOutcome::kNotSent)
+  if (state.outcome == TryOutcome::kNotSent ||
+      state.outcome == TryOutcome::kWithheld)
     return !state.may_have_run || MayRepeat(state.kind);
   if (state.sends >= state.max_attempts || state.is_suspect)
     return false;
@@ -77,6 +78,7 @@
     case TryOutcome::kNotRun:
       return status != kHttpMisdirectedRequest;
     case TryOutcome::kNotSent:
+    case TryOutcome::kWithheld:
     case TryOutcome::kBroken:
     case TryOutcome::kBadAnswer:
     case TryOutcome::kTimedOut:
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -22,6 +22,7 @@
   kFailed,    // A 5xx status from the endpoint, which may have run the request.
   kNotRun,    // The endpoint proved that it did not run the request.
   kNotSent,   // No byte of the request was sent to the endpoint.
+  kWithheld,  // As kNotSent: the endpoint became ineligible while connecting.
   kBroken,    // The connection ended before the answer was complete.
   kBadAnswer,  // The bytes received are not a valid answer to this request.
   kTimedOut,   // No answer within the time limit of the request.
@@ -34,6 +35,7 @@
       {TryOutcome::kFailed, "failed"},
       {TryOutcome::kNotRun, "not_run"},
       {TryOutcome::kNotSent, "not_sent"},
+      {TryOutcome::kWithheld, "withheld"},
       {TryOutcome::kBroken, "broken"},
       {TryOutcome::kBadAnswer, "bad_answer"},
       {TryOutcome::kTimedOut, "timed_out"},
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -62,6 +62,20 @@
   return endpoint;
 }
 
+// The part of EligibilityOf() that does not depend on the time.
+Eligibility LastingEligibility(const EndpointSet& set,
+                               const EndpointView& endpoint) {
+  if (endpoint.state == EndpointState::kDraining)
+    return Eligibility::kDraining;
+  if (endpoint.state == EndpointState::kGone)
+    return Eligibility::kGone;
+  if (IsLeaving(endpoint.notice))
+    return Eligibility::kLeaving;
+  if (set.evacuated.count(endpoint.record.zone) > 0)
+    return Eligibility::kEvacuated;
+  return Eligibility::kEligible;
+}
+
 bool IsSameIncarnation(const EndpointRecord& a, const EndpointRecord& b) {
   return a.started_at_ms == b.started_at_ms && a.address == b.address &&
          a.service == b.service;
@@ -187,10 +201,20 @@
   }
 }
 
+Eligibility EligibilityOf(const EndpointSet& set,
+                          const EndpointView& endpoint,
+                          Time now) {
+  const Eligibility lasting = LastingEligibility(set, endpoint);
+  if (lasting != Eligibility::kEligible)
+    return lasting;
+  if (endpoint.state == EndpointState::kMissing &&
+      now - endpoint.last_success >= kRecentSuccessWindow)
+    return Eligibility::kMissing;
+  return Eligibility::kEligible;
+}
+
 bool CountsAsCapacity(const EndpointSet& set, const EndpointView& endpoint) {
-  return (endpoint.state == EndpointState::kReady ||
-          endpoint.state == EndpointState::kMissing) &&
-         set.evacuated.count(endpoint.record.zone) == 0;
+  return LastingEligibility(set, endpoint) == Eligibility::kEligible;
 }
 
 double CapacitySlots(const EndpointSet& set, const ServiceId& service) {
@@ -203,21 +227,24 @@
   return slots;
 }
 
-bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now) {
-  if (!CountsAsCapacity(set, endpoint))
-    return false;
-  return endpoint.state != EndpointState::kMissing ||
-         now - endpoint.last_success < kRecentSuccessWindow;
+EndpointPtr FindIncarnation(const EndpointSet& set, uint64_t incarnation) {
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (endpoint->incarnation == incarnation)
+      return endpoint;
+  }
+  return nullptr;
 }
 
-bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time now) {
+bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time since, Time now) {
   if (set.notices.by_incarnation.count(incarnation) > 0)
     return false;
-  bool is_new = RecordLeaving(set.notices, incarnation, now);
-  for (const auto& [id, endpoint] : set.by_id) {
-    if (endpoint->incarnation != incarnation || IsLeaving(endpoint->notice))
-      continue;
-    endpoint->notice.leaving_since = now;
+  const EndpointPtr endpoint = FindIncarnation(set, incarnation);
+  const Time expires_at = (endpoint ? now : since) + kNoticeLifetime;
+  if (now >= expires_at)
+    return false;
+  bool is_new = RecordLeaving(set.notices, incarnation, since, expires_at);
+  if (endpoint && !IsLeaving(endpoint->notice)) {
+    endpoint->notice.leaving_since = since;
     is_new = true;
   }
   return is_new;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -3,8 +3,9 @@
 // seen from its answers.
 //
 // Handles registry outages, during which records disappear although their
-// endpoints still run, and endpoints that fail repeatedly, which are ejected
-// for a short time.
+// endpoints still run, endpoints that fail repeatedly, which are ejected for a
+// short time, and endpoints that say in answers that they are leaving.
+// EligibilityOf() alone decides whether an endpoint may get requests.
 #ifndef ROUTING_ENDPOINT_SET_H_
 #define ROUTING_ENDPOINT_SET_H_
 
@@ -162,21 +163,56 @@
                    Duration warmup,
                    Time now);
 
-// Whether the endpoint's slots count as capacity of its service: its state is
-// kReady or kMissing and its zone is not evacuated.
+// Whether an endpoint may get requests, or why not.
+enum class Eligibility {
+  kEligible,
+  kDraining,   // Its record says so.
+  kGone,       // Its record was removed.
+  kLeaving,    // It has said so in an answer, to this or another host.
+  kEvacuated,  // Its zone is evacuated.
+  kMissing,    // Its record is missing, and it has not answered lately.
+};
+
+template <>
+struct NamesTable<Eligibility> {
+  static constexpr EnumName<Eligibility> kNames[] = {
+      {Eligibility::kEligible, "eligible"},
+      {Eligibility::kDraining, "draining"},
+      {Eligibility::kGone, "gone"},
+      {Eligibility::kLeaving, "leaving"},
+      {Eligibility::kEvacuated, "evacuated"},
+      {Eligibility::kMissing, "missing"},
+  };
+};
+
+// The only decision whether new requests may be sent to an endpoint, regardless
+// of its load, of an ejection and of the rate limit of cold endpoints.
+Eligibility EligibilityOf(const EndpointSet& set,
+                          const EndpointView& endpoint,
+                          Time now);
+
+inline bool IsEligible(const EndpointSet& set,
+                       const EndpointView& endpoint,
+                       Time now) {
+  return EligibilityOf(set, endpoint, now) == Eligibility::kEligible;
+}
+
+// Whether the endpoint's slots count as capacity of its service: it is eligible
+// or only its record is missing.
 bool CountsAsCapacity(const EndpointSet& set, const EndpointView& endpoint);
 
 // Sum of the slots, busy or not, of the service's endpoints that count as
 // capacity.
 double CapacitySlots(const EndpointSet& set, const ServiceId& service);
 
-// Whether new requests may be sent to the endpoint, regardless of its load and
-// of an ejection. An endpoint without a record must have answered recently.
-bool IsUsable(const EndpointSet& set, const EndpointView& endpoint, Time now);
+// The endpoint of this incarnation; null if the set has none.
+EndpointPtr FindIncarnation(const EndpointSet& set, uint64_t incarnation);
 
-// The incarnation has said in an answer that it is leaving. Returns false if
-// this is known.
-bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time now);
+// The incarnation has said in an answer at `since`, to this or another host,
+// that it is leaving. It gets no new requests for the rest of its life, even if
+// its record stays ready, or is removed and written again. Returns false if
+// this is known, or too old to matter for an incarnation not in the set.
+bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time since, Time now);
 
 // Removes notices of incarnations that are not in the set, after
 // kNoticeLifetime.
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -19,6 +19,7 @@
 #include "base/names_table.h"
 #include "base/time.h"
 #include "routing/crash_history.h"
+#include "routing/endpoint_notices.h"
 
 namespace sassafras {
 
@@ -121,7 +122,8 @@
   std::vector<HeartbeatNotice> heartbeats;
   // The sender's demand, of the services for which it has any.
   std::vector<DemandNotice> demands;
-  std::vector<CrashNotice> crashes;  // See CollectCrashNotices().
+  std::vector<CrashNotice> crashes;     // See CollectCrashNotices().
+  std::vector<LeavingNotice> leavings;  // See CollectLeavings().
 };
 
 // The messages of one round and the IP addresses that they are sent to.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -82,7 +82,7 @@
                  const PlacementRequest& request,
                  bool with_ejected,
                  Time now) {
-  if (!IsUsable(set, endpoint, now) || !IsAllowed(*request.route, endpoint) ||
+  if (!IsEligible(set, endpoint, now) || !IsAllowed(*request.route, endpoint) ||
       IsTried(request, endpoint))
     return false;
   if (!with_ejected && now < endpoint.ejected_until)
--- a/tests/gateway/exchange_test.cc
+++ b/tests/gateway/exchange_test.cc
@@ -112,7 +112,7 @@
       {"nothing changes", [](EndpointSet&, Time) {}, true},
       {"it says that it is leaving",
        [](EndpointSet& set, Time now) {
-         OnLeaving(set, set.by_id.at(EndpointId("a"))->incarnation, now);
+         OnLeaving(set, set.by_id.at(EndpointId("a"))->incarnation, now, now);
        },
        false},
       {"its record says that it drains",
--- a/tests/gateway/gossip_test.cc
+++ b/tests/gateway/gossip_test.cc
@@ -16,14 +16,15 @@
 }
 
 // Version, host notices, heartbeat counts, demands, an unused item of an
-// earlier release, crashes.
+// earlier release, crashes, leavings.
 Json ValidMessage() {
   return Json::array(
       {1,
        Json::array(
            {Json::array({"h", "10.0.0.1", 8144, "z", 1, 2, 1, 3, 0.1, true})}),
        Json::array({7, 8}), Json::array({7, 1000, 2000}), Json::array(),
-       Json::array({Json::array({7, 0, 10, 1, 30, 20})})});
+       Json::array({Json::array({7, 0, 10, 1, 30, 20})}),
+       Json::array({7, 10})});
 }
 
 bool IsAccepted(const Json& json) {
@@ -40,9 +41,9 @@
 TEST(GossipTest, RejectsNumbersOutOfRange) {
   ASSERT_TRUE(IsAccepted(ValidMessage()));
   const std::vector<std::string> fields = {
-      "/0",     "/1/0/2", "/1/0/4", "/1/0/5", "/1/0/6", "/1/0/7",
-      "/2/0",   "/2/1",   "/3/0",   "/3/1",   "/3/2",   "/5/0/0",
-      "/5/0/1", "/5/0/2", "/5/0/3", "/5/0/4", "/5/0/5"};
+      "/0",     "/1/0/2", "/1/0/4", "/1/0/5", "/1/0/6", "/1/0/7", "/2/0",
+      "/2/1",   "/3/0",   "/3/1",   "/3/2",   "/5/0/0", "/5/0/1", "/5/0/2",
+      "/5/0/3", "/5/0/4", "/5/0/5", "/6/0",   "/6/1"};
   for (const std::string& field : fields) {
     for (const Json& invalid : {Json(1e300), Json(-1e300), Json("7"), Json()}) {
       Json message = ValidMessage();
--- a/tests/routing/endpoint_set_test.cc
+++ b/tests/routing/endpoint_set_test.cc
@@ -29,11 +29,11 @@
 TEST(EndpointSetTest, DrainingEndpointGetsNoNewRequests) {
   EndpointSet set;
   ApplyRecord(set, MakeRecord("a"), kStart);
-  ASSERT_TRUE(IsUsable(set, *Find(set, "a"), kStart));
+  ASSERT_TRUE(IsEligible(set, *Find(set, "a"), kStart));
   EndpointRecord record = MakeRecord("a");
   record.draining = true;
   ApplyRecord(set, record, kStart);
-  EXPECT_FALSE(IsUsable(set, *Find(set, "a"), kStart));
+  EXPECT_FALSE(IsEligible(set, *Find(set, "a"), kStart));
 }
 
 TEST(EndpointSetTest, RecordRemovedByAReliableRegistryMeansGone) {
@@ -43,7 +43,7 @@
   OnSuccess(*endpoint, kStart);
   ApplyRemoval(set, EndpointId("a"), kStart);
   EXPECT_EQ(endpoint->state, EndpointState::kGone);
-  EXPECT_FALSE(IsUsable(set, *endpoint, kStart));
+  EXPECT_FALSE(IsEligible(set, *endpoint, kStart));
   EXPECT_TRUE(set.by_service[ServiceId("s")].empty());
 }
 
@@ -92,7 +92,7 @@
   OnSuccess(*endpoint, kStart);
   MarkRegistryUnreliable(set, kStart);
   ApplyRemoval(set, EndpointId("a"), kStart + milliseconds(10));
-  EXPECT_TRUE(IsUsable(set, *endpoint, kStart + milliseconds(20)));
+  EXPECT_TRUE(IsEligible(set, *endpoint, kStart + milliseconds(20)));
 
   // The record returns in time.
   ApplyRecord(set, MakeRecord("a"), kStart + seconds(1));
@@ -141,9 +141,9 @@
   OnSuccess(*missing, kStart);
   MarkRegistryUnreliable(other, kStart);
   ApplyRemoval(other, EndpointId("b"), kStart);
-  ASSERT_TRUE(IsUsable(other, *missing, kStart));
+  ASSERT_TRUE(IsEligible(other, *missing, kStart));
   OnMisdirected(*missing, kStart);
-  EXPECT_FALSE(IsUsable(other, *missing, kStart));
+  EXPECT_FALSE(IsEligible(other, *missing, kStart));
 }
 
 TEST(EndpointSetTest, RestartWithTheSameIdIsANewEndpoint) {
@@ -175,9 +175,9 @@
   EndpointSet set;
   ApplyRecord(set, MakeRecord("a"), kStart);
   SetEvacuated(set, ZoneId("z"));
-  EXPECT_FALSE(IsUsable(set, *Find(set, "a"), kStart));
+  EXPECT_FALSE(IsEligible(set, *Find(set, "a"), kStart));
   EndEvacuation(set, ZoneId("z"), seconds(3), kStart);
-  EXPECT_TRUE(IsUsable(set, *Find(set, "a"), kStart));
+  EXPECT_TRUE(IsEligible(set, *Find(set, "a"), kStart));
   EXPECT_TRUE(IsCold(*Find(set, "a"), kStart + seconds(2)));
   EXPECT_FALSE(IsCold(*Find(set, "a"), kStart + seconds(3)));
 }
