Remove the log line of sends to leaving endpoints

Every send now follows WithholdIfIneligible(), which logs the reason, so the line can no longer occur.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -402,31 +402,10 @@
         .With("crashes", crashes)
         .With("send", sends_);
   }
-  RecordSendToLeaver();
   t.stream->Write(FormatRequestHead(request_.method, request_.target, fields));
   SendBody();
 }
 
-void GatewayExchange::RecordSendToLeaver() const {
-  const EndpointView& endpoint = *try_->endpoint;
-  if (!IsLeaving(endpoint.notice))
-    return;
-  state_.metrics.Count(
-      "gateway_sends_to_leavers_total",
-      "registry_state=\"" + std::string(NameOf(endpoint.state)) + "\"");
-  LogLine(LogLevel::kWarning, "request",
-          "Sent a request to an endpoint that is leaving.")
-      .With("id", request_.id)
-      .With("endpoint", endpoint.record.id)
-      .With("leaving_ms",
-            Millis(state_.loop.Now() - endpoint.notice.leaving_since))
-      .With("registry_state", NameOf(endpoint.state))
-      .With("registry_state_ms",
-            Millis(state_.loop.Now() - endpoint.state_since))
-      .With("sends", sends_)
-      .With("reused", try_->reused);
-}
-
 void GatewayExchange::SendBody() {
   Try& t = *try_;
   if (t.request_sent || !t.stream)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -146,7 +146,6 @@
   void RecordOutcome(const Try& ended, TryOutcome outcome);
   void RecordCrash(const Try& ended, TryOutcome outcome);
   void RecordAnswer(const Try& ended);
-  void RecordSendToLeaver() const;
   void LogTry(const Try& ended, TryOutcome outcome, NextStep step) const;
   Duration TimeLeft() const;
   uint64_t HashOfId() const;
