Send nothing to endpoints before the time that they name in a refusal

A backoff is this host's alone, limited to 5 min, kept by incarnation, and ends with a jitter; the endpoint then gets one request at a time until one is answered. It is a reason of EligibilityOf(), so that placing, retries and requests that wait for a connection all ask it. While no endpoint is eligible, requests are refused at once, with a Retry-After that is not before the first return, spread over a mean service time.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -264,9 +264,7 @@
       PlaceRequest(state_.endpoints, state_.placement, query, now);
   placement_load_ = placement.load;
   if (!placement.endpoint) {
-    Refuse(
-        NameOf(placement.reason).data(),
-        RetryAfter(state_.admission, service_, UnitInterval(state_.random())));
+    Refuse(NameOf(placement.reason).data(), RetryAfterRefusal());
     return;
   }
   const AdmissionDecision decision =
@@ -463,6 +461,8 @@
         endpoint.last_success = now;
       break;
     case TryOutcome::kFailed:
+      OnRunAnswered(endpoint);
+      break;
     case TryOutcome::kTimedOut:
     case TryOutcome::kWithheld:
       break;
@@ -581,8 +581,7 @@
       Deliver(ended);
       return;
     case NextStep::kRefuse:
-      Refuse(NameOf(outcome).data(), RetryAfter(state_.admission, service_,
-                                                UnitInterval(state_.random())));
+      Refuse(NameOf(outcome).data(), RetryAfterRefusal());
       return;
     case NextStep::kFail:
       SendOwnAnswer(kHttpBadGateway, NameOf(outcome).data(), std::nullopt);
@@ -624,6 +623,19 @@
       .With("left_ms", Millis(TimeLeft()));
 }
 
+Duration GatewayExchange::RetryAfterRefusal() {
+  const Time now = state_.loop.Now();
+  const Duration time =
+      RetryAfter(state_.admission, service_, UnitInterval(state_.random()));
+  const std::optional<Time> resume =
+      FirstResume(state_.endpoints, service_, *route_, now);
+  if (!resume)
+    return time;
+  // Not all at the instant at which the endpoint resumes.
+  return *resume - now +
+         FromSeconds(Seconds(time) * UnitInterval(state_.random()));
+}
+
 void GatewayExchange::Refuse(const char* cause,
                              std::optional<Duration> retry_after) {
   SendOwnAnswer(RefusalStatus(may_have_run_), cause, retry_after);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -128,6 +128,8 @@
   bool OnAnswerHead();
   // Applies what the endpoint says about itself in an answer.
   void OnNotices(const WireAnswer& answer);
+  void OnLeavingAnswer(const WireAnswer& answer);
+  void OnBackoffAnswer(Duration retry_after);
   bool OnAnswerEnd();
   void ForwardAnswer(bool complete);
   void OnStreamEnd(StreamEnd end);
@@ -135,6 +137,9 @@
   void ReleaseStream(TryOutcome outcome);
   void AfterTry(TryOutcome outcome, Try ended);
   void Deliver(Try& ended);
+  // When the caller of a refused request should come back: not before any
+  // endpoint takes requests.
+  Duration RetryAfterRefusal();
   void Refuse(const char* cause, std::optional<Duration> retry_after);
   void SendOwnAnswer(int status,
                      const char* cause,
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -1,7 +1,9 @@
 // The part of GatewayExchange that reads an endpoint's answer and forwards it
 // to the caller.
+#include <optional>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/http_status.h"
 #include "base/log.h"
 #include "gateway/exchange.h"
@@ -130,8 +132,15 @@
 void GatewayExchange::OnNotices(const WireAnswer& answer) {
   // An answer of 421 (Misdirected Request) comes from another endpoint, which
   // has taken over the address.
-  if (!answer.is_leaving || answer.status == kHttpMisdirectedRequest)
+  if (answer.status == kHttpMisdirectedRequest)
     return;
+  if (answer.is_leaving)
+    OnLeavingAnswer(answer);
+  if (answer.retry_after)
+    OnBackoffAnswer(*answer.retry_after);
+}
+
+void GatewayExchange::OnLeavingAnswer(const WireAnswer& answer) {
   const EndpointView& endpoint = *try_->endpoint;
   const Time now = state_.loop.Now();
   if (!OnLeaving(state_.endpoints, endpoint.incarnation, now, now))
@@ -147,6 +156,23 @@
       .With("registry_state_ms", Millis(now - endpoint.state_since));
 }
 
+void GatewayExchange::OnBackoffAnswer(Duration retry_after) {
+  const EndpointView& endpoint = *try_->endpoint;
+  const Time now = state_.loop.Now();
+  const std::optional<Time> resume_at =
+      OnBackoff(state_.endpoints, endpoint.incarnation, retry_after,
+                UnitInterval(state_.random()), now);
+  if (!resume_at)
+    return;
+  state_.metrics.Count("gateway_backoffs_total", "");
+  LogLine(LogLevel::kInfo, "endpoints", "Endpoint wants no requests.")
+      .With("endpoint", endpoint.record.id)
+      .With("source", "answer")
+      .With("id", request_.id)
+      .With("retry_after_ms", Millis(retry_after))
+      .With("resumes_in_ms", Millis(*resume_at - now));
+}
+
 // Handles a complete answer; returns true if the try has ended.
 bool GatewayExchange::OnAnswerEnd() {
   Try& t = *try_;
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -21,6 +21,8 @@
       {"estimated_load", EstimatedLoad(it, now)},
       {"report_age_ms", it.has_report ? Millis(now - it.report.at) : -1},
       {"is_leaving", IsLeaving(it.notice)},
+      {"resumes_in_ms",
+       Millis(std::max(it.notice.resume_at - now, Duration(0)))},
       {"failures_in_row", it.failures_in_row},
       {"is_ejected", now < it.ejected_until}};
 }
--- a/src/gateway/wire_types.h
+++ b/src/gateway/wire_types.h
@@ -48,6 +48,8 @@
   std::optional<Load> load;
   // The endpoint is about to end and wants no further requests.
   bool is_leaving = false;
+  // With status 503: how long the endpoint wants no requests of this host.
+  std::optional<Duration> retry_after;
   // Keep-Alive timeout: how long the endpoint keeps an idle connection open.
   std::optional<Duration> idle_timeout;
   HttpFields forwarded;  // Sent to the caller unchanged.
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -52,9 +52,8 @@
   endpoint->hash = HashText(record.id.value());
   endpoint->incarnation =
       HashPair(endpoint->hash, static_cast<uint64_t>(record.started_at_ms));
-  const auto known = notices.by_incarnation.find(endpoint->incarnation);
-  if (known != notices.by_incarnation.end())
-    endpoint->notice = known->second.notice;
+  endpoint->notice = NoticeOf(notices, endpoint->incarnation);
+  endpoint->is_resuming = IsBackingOff(endpoint->notice, now);
   endpoint->state =
       record.draining ? EndpointState::kDraining : EndpointState::kReady;
   endpoint->state_since = now;
@@ -207,6 +206,8 @@
   const Eligibility lasting = LastingEligibility(set, endpoint);
   if (lasting != Eligibility::kEligible)
     return lasting;
+  if (IsBackingOff(endpoint.notice, now))
+    return Eligibility::kBackoff;
   if (endpoint.state == EndpointState::kMissing &&
       now - endpoint.last_success >= kRecentSuccessWindow)
     return Eligibility::kMissing;
@@ -236,18 +237,38 @@
 }
 
 bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time since, Time now) {
-  if (set.notices.by_incarnation.count(incarnation) > 0)
+  EndpointNotice notice = NoticeOf(set.notices, incarnation);
+  if (IsLeaving(notice))
     return false;
   const EndpointPtr endpoint = FindIncarnation(set, incarnation);
-  const Time expires_at = (endpoint ? now : since) + kNoticeLifetime;
-  if (now >= expires_at)
+  const Time expires_at = (endpoint ? now : since) + kLeavingLifetime;
+  if (now >= expires_at || (endpoint && IsLeaving(endpoint->notice)))
     return false;
-  bool is_new = RecordLeaving(set.notices, incarnation, since, expires_at);
-  if (endpoint && !IsLeaving(endpoint->notice)) {
+  notice.leaving_since = since;
+  StoreNotice(set.notices, incarnation, notice, expires_at);
+  if (endpoint)
     endpoint->notice.leaving_since = since;
-    is_new = true;
+  return true;
+}
+
+std::optional<Time> OnBackoff(EndpointSet& set,
+                              uint64_t incarnation,
+                              Duration retry_after,
+                              double random,
+                              Time now) {
+  const EndpointPtr endpoint = FindIncarnation(set, incarnation);
+  EndpointNotice notice =
+      endpoint ? endpoint->notice : NoticeOf(set.notices, incarnation);
+  const bool took_requests = !IsBackingOff(notice, now);
+  BackOff(notice, retry_after, random, now);
+  StoreNotice(set.notices, incarnation, notice, notice.resume_at);
+  if (endpoint) {
+    endpoint->notice = notice;
+    endpoint->is_resuming = endpoint->is_resuming || IsBackingOff(notice, now);
   }
-  return is_new;
+  if (!took_requests || !IsBackingOff(notice, now))
+    return std::nullopt;
+  return notice.resume_at;
 }
 
 void ExpireNotices(EndpointSet& set, Time now) {
@@ -259,7 +280,7 @@
                         ? entries.find(endpoint->incarnation)
                         : entries.end();
     if (it != entries.end())
-      it->second.expires_at = now + kNoticeLifetime;
+      it->second.expires_at = now + kLeavingLifetime;
   }
   for (auto it = entries.begin(); it != entries.end();)
     it = now >= it->second.expires_at ? entries.erase(it) : std::next(it);
@@ -285,6 +306,7 @@
 void OnSuccess(EndpointView& endpoint, Time now) {
   endpoint.failures_in_row = 0;
   endpoint.last_success = now;
+  OnRunAnswered(endpoint);
 }
 
 void OnMisdirected(EndpointView& endpoint, Time now) {
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -4,13 +4,15 @@
 //
 // Handles registry outages, during which records disappear although their
 // endpoints still run, endpoints that fail repeatedly, which are ejected for a
-// short time, and endpoints that say in answers that they are leaving.
+// short time, and endpoints that say in answers that they are leaving or want
+// no requests for some time.
 // EligibilityOf() alone decides whether an endpoint may get requests.
 #ifndef ROUTING_ENDPOINT_SET_H_
 #define ROUTING_ENDPOINT_SET_H_
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -93,6 +95,8 @@
   // Earliest time of this host's next request while the endpoint is cold.
   Time next_cold_send;
   EndpointNotice notice;
+  // No request has been answered since a backoff; see IsBusyResuming().
+  bool is_resuming = false;
 };
 
 using EndpointPtr = std::shared_ptr<EndpointView>;
@@ -170,6 +174,7 @@
   kGone,       // Its record was removed.
   kLeaving,    // It has said so in an answer, to this or another host.
   kEvacuated,  // Its zone is evacuated.
+  kBackoff,    // It has asked this host to send nothing for some time.
   kMissing,    // Its record is missing, and it has not answered lately.
 };
 
@@ -181,12 +186,13 @@
       {Eligibility::kGone, "gone"},
       {Eligibility::kLeaving, "leaving"},
       {Eligibility::kEvacuated, "evacuated"},
+      {Eligibility::kBackoff, "backoff"},
       {Eligibility::kMissing, "missing"},
   };
 };
 
 // The only decision whether new requests may be sent to an endpoint, regardless
-// of its load, of an ejection and of the rate limit of cold endpoints.
+// of its load, of an ejection and of the limits of cold and resuming endpoints.
 Eligibility EligibilityOf(const EndpointSet& set,
                           const EndpointView& endpoint,
                           Time now);
@@ -197,8 +203,14 @@
   return EligibilityOf(set, endpoint, now) == Eligibility::kEligible;
 }
 
+// Whether the endpoint resumes after a backoff and already has a request of
+// this host. It gets one at a time until one is answered.
+inline bool IsBusyResuming(const EndpointView& endpoint) {
+  return endpoint.is_resuming && endpoint.in_flight > 0;
+}
+
 // Whether the endpoint's slots count as capacity of its service: it is eligible
-// or only its record is missing.
+// but for a backoff, which is short, or a missing record.
 bool CountsAsCapacity(const EndpointSet& set, const EndpointView& endpoint);
 
 // Sum of the slots, busy or not, of the service's endpoints that count as
@@ -214,8 +226,17 @@
 // this is known, or too old to matter for an incarnation not in the set.
 bool OnLeaving(EndpointSet& set, uint64_t incarnation, Time since, Time now);
 
-// Removes notices of incarnations that are not in the set, after
-// kNoticeLifetime.
+// The incarnation has refused a request and wants none of this host for
+// `retry_after`; see BackOff(). Returns when it resumes, unless it backed off
+// already or the time is zero.
+std::optional<Time> OnBackoff(EndpointSet& set,
+                              uint64_t incarnation,
+                              Duration retry_after,
+                              double random,
+                              Time now);
+
+// Removes the notices of backoffs that are over, and of leavings of
+// incarnations that are not in the set after kLeavingLifetime.
 void ExpireNotices(EndpointSet& set, Time now);
 
 inline bool IsCold(const EndpointView& endpoint, Time now) {
@@ -226,6 +247,10 @@
 // and when it ends in any way.
 void OnSent(EndpointView& endpoint);
 void OnEnded(EndpointView& endpoint);
+// The endpoint has answered a request that it has run.
+inline void OnRunAnswered(EndpointView& endpoint) {
+  endpoint.is_resuming = false;
+}
 // Stores the load report of an answer.
 void OnReport(EndpointView& endpoint, const LoadReport& report);
 // The endpoint sent a valid answer.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -87,6 +87,8 @@
     return false;
   if (!with_ejected && now < endpoint.ejected_until)
     return false;
+  if (IsBusyResuming(endpoint))
+    return false;
   return !IsCold(endpoint, now) ||
          MaySendToColdEndpoint(context, endpoint, now);
 }
@@ -297,8 +299,14 @@
   if (candidates.empty())
     candidates =
         FindCandidates(set, endpoints, none, context, request, true, now);
-  if (candidates.empty())
-    return {};
+  if (candidates.empty()) {
+    const bool backs_off =
+        FirstResume(set, *request.service, *request.route, now).has_value();
+    return {
+        nullptr,
+        backs_off ? PlacementReason::kBackoff : PlacementReason::kNoEndpoint,
+        0};
+  }
   const bool has_object =
       !request.affinity_key.empty() && request.route->sticky;
   if (has_object && EndpointsPerObject(request.objects, preferred.size()) > 1)
@@ -312,6 +320,27 @@
   return placement;
 }
 
+std::optional<Time> FirstResume(const EndpointSet& set,
+                                const ServiceId& service,
+                                const RequestRoute& route,
+                                Time now) {
+  const auto it = set.by_service.find(service);
+  if (it == set.by_service.end())
+    return std::nullopt;
+  std::optional<Time> first;
+  for (const EndpointPtr& endpoint : it->second) {
+    if (!IsAllowed(route, *endpoint))
+      continue;
+    const Eligibility eligibility = EligibilityOf(set, *endpoint, now);
+    if (eligibility == Eligibility::kEligible)
+      return std::nullopt;
+    const Time resume_at = endpoint->notice.resume_at;
+    if (eligibility == Eligibility::kBackoff && (!first || resume_at < *first))
+      first = resume_at;
+  }
+  return first;
+}
+
 void OnPlaced(const SteeringConfig& config, EndpointView& endpoint, Time now) {
   if (!IsCold(endpoint, now))
     return;
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -68,7 +69,8 @@
   kPreferred,    // One of the object's own endpoints.
   kSpill,        // A later candidate, because these have no room.
   kLeastLoaded,  // The candidate with the fewest requests per slot.
-  kNoEndpoint,   // No endpoint is registered, usable and allowed.
+  kNoEndpoint,   // No endpoint is registered, eligible and allowed.
+  kBackoff,      // As kNoEndpoint, but some endpoints only back off.
   kFull,         // The chosen endpoint's queue is full.
 };
 
@@ -79,6 +81,7 @@
       {PlacementReason::kSpill, "spill"},
       {PlacementReason::kLeastLoaded, "least_loaded"},
       {PlacementReason::kNoEndpoint, "no_endpoint"},
+      {PlacementReason::kBackoff, "backoff"},
       {PlacementReason::kFull, "full"},
   };
 };
@@ -102,12 +105,19 @@
     double local_bias);
 
 // Chooses an endpoint for `request`. If none can take it, the result's
-// `endpoint` is null and its `reason` is kNoEndpoint or kFull.
+// `endpoint` is null and its `reason` is kNoEndpoint, kBackoff or kFull.
 Placement PlaceRequest(const EndpointSet& set,
                        const PlacementContext& context,
                        const PlacementRequest& request,
                        Time now);
 
+// When the first of the endpoints that `route` allows resumes after a backoff.
+// Empty if any of them is eligible, or none backs off.
+std::optional<Time> FirstResume(const EndpointSet& set,
+                                const ServiceId& service,
+                                const RequestRoute& route,
+                                Time now);
+
 // Must be called when a request is sent to `endpoint`: sets the earliest time
 // of this host's next request to it while the endpoint is cold.
 void OnPlaced(const SteeringConfig& config, EndpointView& endpoint, Time now);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -312,5 +312,39 @@
   }
 }
 
+TEST(PlatformWireTest, DecodesRetryAfter) {
+  using std::chrono::milliseconds;
+  struct Case {
+    const char* name;
+    int status;
+    HttpFields fields;
+    std::optional<Duration> retry_after;
+  };
+  const std::vector<Case> cases = {
+      {"none", 503, {}, {}},
+      {"seconds", 503, {{"Retry-After", "2"}}, milliseconds(2000)},
+      {"fraction", 503, {{"Retry-After", "0.25"}}, milliseconds(250)},
+      {"zero", 503, {{"Retry-After", "0"}}, milliseconds(0)},
+      {"the longest of several",
+       503,
+       {{"Retry-After", "1"}, {"Retry-After", "3"}, {"Retry-After", "x"}},
+       milliseconds(3000)},
+      {"huge", 503, {{"Retry-After", "1e300"}}, FromSeconds(1e9)},
+      {"infinite", 503, {{"Retry-After", "inf"}}, FromSeconds(1e9)},
+      {"negative", 503, {{"Retry-After", "-1"}}, {}},
+      {"no number", 503, {{"Retry-After", "nan"}}, {}},
+      {"date", 503, {{"Retry-After", "Sat, 05 Dec 2026 08:00:00 GMT"}}, {}},
+      {"empty", 503, {{"Retry-After", ""}}, {}},
+      {"other status", 429, {{"Retry-After", "2"}}, {}},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    HttpHead head;
+    head.status = it.status;
+    head.fields = it.fields;
+    EXPECT_EQ(DecodeAnswer(head).retry_after, it.retry_after);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras::platform
--- a/tests/routing/endpoint_notices_test.cc
+++ b/tests/routing/endpoint_notices_test.cc
@@ -127,6 +127,125 @@
   EXPECT_EQ(EligibilityAt(restarted, "a", later), Eligibility::kEligible);
 }
 
+TEST(EndpointNoticesTest, BackoffEndsLaterThanAskedAndNeverEarlier) {
+  struct Case {
+    const char* name;
+    Duration retry_after;
+    double random;
+    Duration resumes_after;
+  };
+  const std::vector<Case> cases = {
+      {"no jitter", seconds(2), 0.0, seconds(2)},
+      {"half of the jitter", seconds(2), 0.5, milliseconds(2250)},
+      {"jitter of a long time", seconds(60), 0.5, milliseconds(60500)},
+      {"longer than the limit", minutes(60), 0.0, kMaxBackoff},
+      {"zero", seconds(0), 0.5, seconds(0)},
+  };
+  for (const Case& it : cases) {
+    SCOPED_TRACE(it.name);
+    EndpointSet set;
+    ApplyRecord(set, MakeRecord("a"), kStart);
+    EndpointView& endpoint = *Find(set, "a");
+    const Time end = kStart + it.resumes_after;
+    const auto resume_at =
+        OnBackoff(set, endpoint.incarnation, it.retry_after, it.random, kStart);
+    EXPECT_EQ(resume_at.value_or(kStart), end);
+    for (Time now = kStart; now < end; now += it.resumes_after / 10)
+      EXPECT_EQ(EligibilityOf(set, endpoint, now), Eligibility::kBackoff);
+    EXPECT_EQ(EligibilityOf(set, endpoint, end), Eligibility::kEligible);
+    // Short absences do not move the regions' shares.
+    EXPECT_TRUE(CountsAsCapacity(set, endpoint));
+  }
+}
+
+TEST(EndpointNoticesTest, ShorterBackoffDoesNotReplaceALongerOne) {
+  const RequestRoute route;
+  EndpointSet set;
+  ApplyRecord(set, MakeRecord("a"), kStart);
+  EndpointView& endpoint = *Find(set, "a");
+  OnBackoff(set, endpoint.incarnation, seconds(10), 0, kStart);
+  EXPECT_FALSE(
+      OnBackoff(set, endpoint.incarnation, seconds(1), 0, kStart + seconds(1)));
+  EXPECT_EQ(endpoint.notice.resume_at, kStart + seconds(10));
+  EXPECT_FALSE(OnBackoff(set, endpoint.incarnation, seconds(20), 0,
+                         kStart + seconds(1)));
+  EXPECT_EQ(endpoint.notice.resume_at, kStart + seconds(21));
+  // The record is removed and written again.
+  ApplyRemoval(set, EndpointId("a"), kStart + seconds(2));
+  ApplyRecord(set, MakeRecord("a"), kStart + seconds(2));
+  EXPECT_EQ(EligibilityAt(set, "a", kStart + seconds(20)),
+            Eligibility::kBackoff);
+  EXPECT_EQ(FirstResume(set, kService, route, kStart + seconds(3)),
+            kStart + seconds(21));
+  EXPECT_FALSE(FirstResume(set, kService, route, kStart + seconds(21)));
+}
+
+TEST(EndpointNoticesTest, ResumingEndpointGetsOneRequestUntilItAnswers) {
+  EndpointSet set;
+  ApplyRecord(set, MakeRecord("a"), kStart);
+  EndpointView& endpoint = *Find(set, "a");
+  OnBackoff(set, endpoint.incarnation, seconds(1), 0, kStart);
+  EXPECT_FALSE(IsBusyResuming(endpoint));
+  OnSent(endpoint);
+  EXPECT_TRUE(IsBusyResuming(endpoint));
+  OnSuccess(endpoint, kStart + seconds(2));
+  EXPECT_FALSE(IsBusyResuming(endpoint));
+}
+
+TEST(EndpointNoticesTest, RefusalNamesTheTimeOfTheFirstResume) {
+  EndpointSet set;
+  RequestRoute route;
+  PlacementRequest request;
+  request.service = &kService;
+  request.route = &route;
+  const PlacementContext context;
+  for (const char* it : {"a", "b"})
+    ApplyRecord(set, MakeRecord(it), kStart);
+  OnBackoff(set, Find(set, "a")->incarnation, seconds(5), 0, kStart);
+  EXPECT_EQ(PlaceRequest(set, context, request, kStart).endpoint,
+            Find(set, "b"));
+  OnBackoff(set, Find(set, "b")->incarnation, seconds(3), 0, kStart);
+  const Placement refused = PlaceRequest(set, context, request, kStart);
+  EXPECT_FALSE(refused.endpoint);
+  EXPECT_EQ(refused.reason, PlacementReason::kBackoff);
+  EXPECT_EQ(FirstResume(set, kService, route, kStart), kStart + seconds(3));
+  EXPECT_EQ(PlaceRequest(set, context, request, kStart + seconds(3)).endpoint,
+            Find(set, "b"));
+  // Of an endpoint that the route does not allow, the time does not matter.
+  route.home_regions = {RegionId("other")};
+  EXPECT_FALSE(FirstResume(set, kService, route, kStart));
+}
+
+// A backoff and a leaving do not replace each other, in either order.
+TEST(EndpointNoticesTest, LeaverThatBacksOffKeepsLeaving) {
+  for (const bool leaves_first : {false, true}) {
+    EndpointSet set;
+    ApplyRecord(set, MakeRecord("a"), kStart);
+    const uint64_t incarnation = Find(set, "a")->incarnation;
+    if (leaves_first)
+      OnLeaving(set, incarnation, kStart, kStart);
+    OnBackoff(set, incarnation, seconds(2), 0, kStart);
+    if (!leaves_first)
+      OnLeaving(set, incarnation, kStart, kStart);
+    ApplyRemoval(set, EndpointId("a"), kStart);
+    ApplyRecord(set, MakeRecord("a"), kStart);
+    const Time later = kStart + seconds(5);
+    ExpireNotices(set, later);
+    EXPECT_EQ(EligibilityAt(set, "a", later), Eligibility::kLeaving);
+    EXPECT_EQ(CollectLeavings(set.notices, true, later).size(), 1U);
+  }
+}
+
+// It is this host's alone.
+TEST(EndpointNoticesTest, BackoffIsNotGossipedAndExpires) {
+  EndpointSet set;
+  ApplyRecord(set, MakeRecord("a"), kStart);
+  OnBackoff(set, Find(set, "a")->incarnation, seconds(2), 0, kStart);
+  EXPECT_TRUE(CollectLeavings(set.notices, true, kStart).empty());
+  ExpireNotices(set, kStart + seconds(2));
+  EXPECT_TRUE(set.notices.by_incarnation.empty());
+}
+
 TEST(EndpointNoticesTest, NothingIsPlacedOnceAllEndpointsLeave) {
   EndpointSet set;
   RequestRoute route;
@@ -182,7 +301,7 @@
   ApplyRecord(a, MakeRecord("a"), removed);
   EXPECT_EQ(EligibilityAt(a, "a", removed), Eligibility::kLeaving);
   ApplyRemoval(a, EndpointId("a"), removed);
-  for (Time now = removed; now <= removed + kNoticeLifetime; now += minutes(1))
+  for (Time now = removed; now <= removed + kLeavingLifetime; now += minutes(1))
     exchange(now);
   EXPECT_TRUE(a.notices.by_incarnation.empty());
   EXPECT_TRUE(b.notices.by_incarnation.empty());
