Soak: endpoints that announce their end in answers, or name a time

The soak knew endpoints that leave by their record only, and refusals without a time. A third of the leaving ones now say so only in answers, and half of the refusing ones name a time. Checked in every run: a host that has passed such an answer on sends no request of later than drain-s, until it starts again or is frozen; at most two requests reach an endpoint before the time that it named.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -34,6 +34,12 @@
 // Sends of a request that crashes endpoints, later than the stable window after
 // its third crash.
 constexpr size_t kMostLateSends = 3;
+// Time that some refusing endpoints name, and the requests of a host that may
+// reach them between the grace after a refusal and the end of that time.
+constexpr const char* kRetryAfter = "1.5";
+constexpr milliseconds kRetryAfterTime{1500};
+constexpr milliseconds kRefusalGrace{500};
+constexpr int kMaxEarlyRequests = 2;
 constexpr const char* kService = "rondas";
 // In the path of requests that crash endpoints.
 constexpr const char* kCrashMark = "crash";
@@ -65,9 +71,11 @@
   std::string zone;
   std::string listen;  // Address of the proxy.
   bool has_left = false;
+  bool announces = false;  // Says only in answers that it leaves.
   Time left;
   int arrivals_when_drained = 0;
   int arrivals_at_check = 0;
+  std::vector<Time> harmed;  // When the way to it was harmed.
 };
 
 struct SoakHost {
@@ -81,7 +89,10 @@
 class SoakRun {
  public:
   explicit SoakRun(const SoakOptions& options)
-      : options_(options), random_(options.seed), world_(options.network) {
+      : options_(options),
+        random_(options.seed),
+        notice_random_(options.seed),
+        world_(options.network) {
     world_.UseAllZones();
   }
 
@@ -128,11 +139,17 @@
   bool AnswersAsConfigured(int host);
   int StatusOf(int host, const std::string& path);
   void CheckCrashing(const std::string& path);
+  void CheckLeaver(const SoakEndpoint& endpoint);
+  void CheckRefusals(const SoakEndpoint& endpoint);
+  bool IsDisturbed(int host, Time at);
   void CheckAll();
 
   SoakOptions options_;
   SoakReport report_;
   std::mt19937_64 random_;
+  // For what endpoints say in their answers. Draws from `random_` would change
+  // the faults of the seeds that have found something.
+  std::mt19937_64 notice_random_;
   PlatformWorld world_;
   std::unique_ptr<SoakCallers> callers_;
   std::map<int, SoakHost> hosts_;
@@ -322,10 +339,14 @@
   if (it.has_left)
     return;
   const bool is_told = Pick(2) == 0;
-  Note((is_told ? "drain " : "remove ") + it.id);
+  it.announces = notice_random_() % 3 == 0;
+  const char* how = is_told ? "drain " : "remove ";
+  Note((it.announces ? "leave, said in answers only: " : how) + it.id);
   it.has_left = true;
   it.left = loop().Now();
-  if (is_told) {
+  if (it.announces) {
+    it.standin->set_leaving(true);
+  } else if (is_told) {
     nlohmann::json record = it.standin->Record(kService, it.zone);
     record["state"] = "draining";
     record["address"] = it.listen;
@@ -340,7 +361,7 @@
   Later(kServesOn, [this, id = it.id] {
     SoakEndpoint& endpoint = EndpointOf(id);
     // Hosts that are cut off or frozen may not know that it leaves.
-    if (IsPlannedOnly() &&
+    if (IsPlannedOnly() && !endpoint.announces &&
         endpoint.standin->arrivals() > endpoint.arrivals_when_drained)
       Violate("requests reach " + id + " later than its drain time");
     endpoint.proxy->set_mode(ProxyMode::kRefuse);
@@ -394,6 +415,7 @@
   if (it.has_left)
     return;
   Note("harm the way to " + it.id);
+  it.harmed.push_back(loop().Now());
   it.proxy->set_mode(kModes[Pick(std::size(kModes))]);
   if (Pick(2) == 0)
     it.proxy->ResetAll();
@@ -415,7 +437,11 @@
                                        StandinBehavior::kMisdirected};
   PlatformStandinEndpoint* it = endpoints_[Pick(endpoints_.size())].standin;
   Note("an endpoint misbehaves");
-  it->set_behavior(kActs[Pick(std::size(kActs))]);
+  const StandinBehavior act = kActs[Pick(std::size(kActs))];
+  it->set_behavior(act);
+  const bool names_time =
+      act == StandinBehavior::kShed && notice_random_() % 2 == 0;
+  it->set_retry_after(names_time ? kRetryAfter : "");
   Later(PickTime(300, 2000),
         [it] { it->set_behavior(StandinBehavior::kAnswer); });
 }
@@ -555,12 +581,7 @@
   std::string hosts;
   for (const auto* run : runs) {
     const SoakRequest& request = *callers_->requests().at(run->request_id);
-    const SoakHost& host = hosts_[request.host];
-    const bool is_disturbed =
-        std::any_of(host.disturbed.begin(), host.disturbed.end(), [&](Time at) {
-          return at <= run->begun && run->begun < at + kStableWindow;
-        });
-    if (run->begun <= from || is_disturbed)
+    if (run->begun <= from || IsDisturbed(request.host, run->begun))
       continue;
     ++n;
     hosts += " " + std::to_string(request.host);
@@ -570,11 +591,84 @@
             " times after its third crash, by hosts" + hosts);
 }
 
+// Whether the host started or was frozen lately.
+bool SoakRun::IsDisturbed(int host, Time at) {
+  const std::vector<Time>& times = hosts_[host].disturbed;
+  return std::any_of(times.begin(), times.end(), [&](Time it) {
+    return it <= at && at < it + kStableWindow;
+  });
+}
+
+// A host that has passed on an endpoint's word sends it nothing more, whatever
+// happens, until the host starts again or is frozen.
+void SoakRun::CheckLeaver(const SoakEndpoint& endpoint) {
+  if (!endpoint.announces)
+    return;
+  const auto& requests = callers_->requests();
+  std::map<int, Time> passed_on;
+  for (const auto& run : endpoint.standin->runs()) {
+    const auto it = requests.find(run.request_id);
+    if (it == requests.end() || run.begun < endpoint.left ||
+        it->second->status != kHttpOk)
+      continue;
+    const auto [first, is_new] =
+        passed_on.emplace(it->second->host, it->second->done);
+    first->second = std::min(first->second, it->second->done);
+  }
+  for (const auto& arrival : endpoint.standin->all_arrivals()) {
+    const auto it = requests.find(arrival.request_id);
+    if (it == requests.end())
+      continue;
+    const SoakRequest& request = *it->second;
+    const auto from = passed_on.find(request.host);
+    if (from == passed_on.end() || request.sent <= from->second + kDrain)
+      continue;
+    const std::vector<Time>& times = hosts_[request.host].disturbed;
+    const bool is_excused = std::any_of(
+        times.begin(), times.end(),
+        [&](Time at) { return from->second <= at && at <= request.sent; });
+    if (!is_excused)
+      ViolateRequest(request, "reaches " + endpoint.id + ", which leaves");
+  }
+}
+
+// A host sends next to nothing to an endpoint that has named a time.
+void SoakRun::CheckRefusals(const SoakEndpoint& endpoint) {
+  const auto host_of = [&](const std::string& id) {
+    const auto it = callers_->requests().find(id);
+    return it == callers_->requests().end() ? 0 : it->second->host;
+  };
+  for (const auto& refusal : endpoint.standin->refusals()) {
+    const int host = host_of(refusal.request_id);
+    const bool is_excused =
+        IsDisturbed(host, refusal.at + kRetryAfterTime) ||
+        std::any_of(endpoint.harmed.begin(), endpoint.harmed.end(),
+                    [&](Time at) {
+                      return at < refusal.at + kRetryAfterTime &&
+                             refusal.at < at + kStableWindow;
+                    });
+    if (refusal.retry_after.empty() || is_excused)
+      continue;
+    int early = 0;
+    for (const auto& it : endpoint.standin->all_arrivals()) {
+      early += it.at > refusal.at + kRefusalGrace &&
+               it.at < refusal.at + kRetryAfterTime &&
+               host_of(it.request_id) == host;
+    }
+    if (early > kMaxEarlyRequests)
+      Violate("host " + std::to_string(host) + " sent " +
+              std::to_string(early) + " requests to " + endpoint.id +
+              " before the time it had named");
+  }
+}
+
 // What holds at all times, from what callers and endpoints have seen.
 void SoakRun::CheckAll() {
   std::map<std::string, int> runs;
   const auto& requests = callers_->requests();
   for (const SoakEndpoint& endpoint : endpoints_) {
+    CheckLeaver(endpoint);
+    CheckRefusals(endpoint);
     for (const auto& run : endpoint.standin->runs()) {
       ++runs[run.request_id];
       if (run.request_id.rfind("probe", 0) == 0)
