Decode an answer's trailer only if it has one

Every chunked answer was decoded a second time at its end, for the notices of a trailer. The second time is left out unless the reader has added fields since the head. LeaverGetsNoRequestsWhateverTheStoreSays still holds in its rows with and without a trailer.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,7 @@
     bool head_sent = false;      // The request's head was written.
     bool request_sent = false;   // Head and whole body were written.
     bool has_answer = false;     // `answer` is this request's.
+    size_t decoded_fields = 0;   // Of its head; those of a trailer follow.
     bool is_skipping = false;    // Reading an answer that is not forwarded.
     size_t skipped_bytes = 0;    // Of such answers.
     Time started;
@@ -128,6 +129,7 @@
   bool OnAnswerHead();
   // Applies what the endpoint says about itself in an answer.
   void OnNotices(const WireAnswer& answer);
+  void OnTrailer();
   void OnLeavingAnswer(const WireAnswer& answer);
   void OnBackoffAnswer(Duration retry_after);
   bool OnAnswerEnd();
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -109,6 +109,7 @@
     return true;
   }
   t.has_answer = true;
+  t.decoded_fields = head.fields.size();
   OnNotices(t.answer);
   last_reported_load_ = t.answer.load;
   if (t.answer.load) {
@@ -140,6 +141,13 @@
     OnBackoffAnswer(*answer.retry_after);
 }
 
+// The reader adds the fields of a trailer to the head.
+void GatewayExchange::OnTrailer() {
+  const HttpHead& head = try_->reader->head();
+  if (head.fields.size() > try_->decoded_fields)
+    OnNotices(platform::DecodeAnswer(head));
+}
+
 void GatewayExchange::OnLeavingAnswer(const WireAnswer& answer) {
   const EndpointView& endpoint = *try_->endpoint;
   const Time now = state_.loop.Now();
@@ -181,9 +189,7 @@
     StartReading();
     return false;
   }
-  // The fields of a trailer have been added to the head.
-  if (t.reader->head().chunked)
-    OnNotices(platform::DecodeAnswer(t.reader->head()));
+  OnTrailer();
   if (t.answer.proves_not_run)
     EndTry(TryOutcome::kNotRun);
   else if (t.answer.status >= kHttpInternalServerError)
