--- a/tests/routing/attempt_test.cc
+++ b/tests/routing/attempt_test.cc
@@ -36,6 +36,10 @@
        NextStep::kRefuse},
       {"connection refused", TryOutcome::kNotSent, kUpload, false, true,
        NextStep::kTryAgain},
+      {"withheld", TryOutcome::kWithheld, kUpload, false, true,
+       NextStep::kTryAgain},
+      {"withheld, broken before", TryOutcome::kWithheld, kUpload, true, true,
+       NextStep::kFail},
       {"broken idempotent request", TryOutcome::kBroken, kIdem, true, true,
        NextStep::kTryAgain},
       {"broken non-idempotent request", TryOutcome::kBroken, kOnce, true, true,
@@ -78,6 +82,9 @@
   TryState sent_often = state;
   sent_often.sends = 2;
   EXPECT_FALSE(IsRetryUseful(sent_often));
+  // It was not sent to the endpoint it was withheld from.
+  sent_often.outcome = TryOutcome::kWithheld;
+  EXPECT_TRUE(IsRetryUseful(sent_often));
   TryState late = state;
   late.time_left = milliseconds(5);
   EXPECT_FALSE(IsRetryUseful(late));
@@ -207,7 +214,8 @@
   EXPECT_TRUE(ProvesNoCrash(TryOutcome::kAnswered));
   for (const TryOutcome it :
        {TryOutcome::kFailed, TryOutcome::kNotRun, TryOutcome::kNotSent,
-        TryOutcome::kBroken, TryOutcome::kBadAnswer, TryOutcome::kTimedOut})
+        TryOutcome::kWithheld, TryOutcome::kBroken, TryOutcome::kBadAnswer,
+        TryOutcome::kTimedOut})
     EXPECT_FALSE(ProvesNoCrash(it)) << NameOf(it);
 }
 
