--- a/tests/routing/endpoint_notices_test.cc
+++ b/tests/routing/endpoint_notices_test.cc
@@ -182,14 +182,20 @@
 
 TEST(EndpointNoticesTest, ResumingEndpointGetsOneRequestUntilItAnswers) {
   EndpointSet set;
+  RequestRoute route;
+  PlacementRequest request;
+  request.service = &kService;
+  request.route = &route;
+  const PlacementContext context;
   ApplyRecord(set, MakeRecord("a"), kStart);
-  EndpointView& endpoint = *Find(set, "a");
-  OnBackoff(set, endpoint.incarnation, seconds(1), 0, kStart);
-  EXPECT_FALSE(IsBusyResuming(endpoint));
-  OnSent(endpoint);
-  EXPECT_TRUE(IsBusyResuming(endpoint));
-  OnSuccess(endpoint, kStart + seconds(2));
-  EXPECT_FALSE(IsBusyResuming(endpoint));
+  const EndpointPtr endpoint = Find(set, "a");
+  OnBackoff(set, endpoint->incarnation, seconds(1), 0, kStart);
+  const Time later = kStart + seconds(2);
+  EXPECT_EQ(PlaceRequest(set, context, request, later).endpoint, endpoint);
+  OnSent(*endpoint);
+  EXPECT_FALSE(PlaceRequest(set, context, request, later).endpoint);
+  OnSuccess(*endpoint, later);
+  EXPECT_EQ(PlaceRequest(set, context, request, later).endpoint, endpoint);
 }
 
 TEST(EndpointNoticesTest, RefusalNamesTheTimeOfTheFirstResume) {
