--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include "base/http_status.h"
@@ -843,9 +844,21 @@
       return true;
     RunUntil(std::chrono::milliseconds(50), [] { return false; });
   }
+  PrintHost(index);
   return false;
 }
 
+// The log is gone once the world is.
+void PlatformWorld::PrintHost(int index) const {
+  const auto it = gateways_.find(index);
+  const std::string process =
+      it == gateways_.end() ? "" : "/proc/" + std::to_string(it->second);
+  std::cerr << "Host " << index << " is not ready.\n";
+  for (const char* file : {"/status", "/stat", "/schedstat", "/wchan"})
+    std::cerr << file << ": " << std::ifstream(process + file).rdbuf() << '\n';
+  std::cerr << "log: " << std::ifstream(LogPathOf(index)).rdbuf() << '\n';
+}
+
 void PlatformWorld::Signal(int index, int signal) {
   kill(gateways_.at(index), signal);
 }
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -382,6 +382,8 @@
   Duration CpuTimeOf(int index) const;
 
  private:
+  // Prints the state and the log of a host that is not ready.
+  void PrintHost(int index) const;
   std::string SettingsText(int index) const;
   std::string SettingsPathOf(int index) const;
 
