--- a/tests/routing/endpoint_notices_test.cc
+++ b/tests/routing/endpoint_notices_test.cc
@@ -46,6 +46,13 @@
   return endpoint ? EligibilityOf(set, *endpoint, now) : Eligibility::kGone;
 }
 
+Placement PlaceOn(const EndpointSet& set, const RequestRoute& route, Time now) {
+  PlacementRequest request;
+  request.service = &kService;
+  request.route = &route;
+  return PlaceRequest(set, PlacementContext(), request, now);
+}
+
 // What the registry says after an endpoint has said that it is leaving.
 TEST(EndpointNoticesTest,
      LeavingHoldsForTheIncarnationWhateverTheRegistrySays) {
@@ -182,41 +189,31 @@
 
 TEST(EndpointNoticesTest, ResumingEndpointGetsOneRequestUntilItAnswers) {
   EndpointSet set;
-  RequestRoute route;
-  PlacementRequest request;
-  request.service = &kService;
-  request.route = &route;
-  const PlacementContext context;
+  const RequestRoute route;
   ApplyRecord(set, MakeRecord("a"), kStart);
   const EndpointPtr endpoint = Find(set, "a");
   OnBackoff(set, endpoint->incarnation, seconds(1), 0, kStart);
   const Time later = kStart + seconds(2);
-  EXPECT_EQ(PlaceRequest(set, context, request, later).endpoint, endpoint);
+  EXPECT_EQ(PlaceOn(set, route, later).endpoint, endpoint);
   OnSent(*endpoint);
-  EXPECT_FALSE(PlaceRequest(set, context, request, later).endpoint);
+  EXPECT_FALSE(PlaceOn(set, route, later).endpoint);
   OnSuccess(*endpoint, later);
-  EXPECT_EQ(PlaceRequest(set, context, request, later).endpoint, endpoint);
+  EXPECT_EQ(PlaceOn(set, route, later).endpoint, endpoint);
 }
 
 TEST(EndpointNoticesTest, RefusalNamesTheTimeOfTheFirstResume) {
   EndpointSet set;
   RequestRoute route;
-  PlacementRequest request;
-  request.service = &kService;
-  request.route = &route;
-  const PlacementContext context;
   for (const char* it : {"a", "b"})
     ApplyRecord(set, MakeRecord(it), kStart);
   OnBackoff(set, Find(set, "a")->incarnation, seconds(5), 0, kStart);
-  EXPECT_EQ(PlaceRequest(set, context, request, kStart).endpoint,
-            Find(set, "b"));
+  EXPECT_EQ(PlaceOn(set, route, kStart).endpoint, Find(set, "b"));
   OnBackoff(set, Find(set, "b")->incarnation, seconds(3), 0, kStart);
-  const Placement refused = PlaceRequest(set, context, request, kStart);
+  const Placement refused = PlaceOn(set, route, kStart);
   EXPECT_FALSE(refused.endpoint);
   EXPECT_EQ(refused.reason, PlacementReason::kBackoff);
   EXPECT_EQ(FirstResume(set, kService, route, kStart), kStart + seconds(3));
-  EXPECT_EQ(PlaceRequest(set, context, request, kStart + seconds(3)).endpoint,
-            Find(set, "b"));
+  EXPECT_EQ(PlaceOn(set, route, kStart + seconds(3)).endpoint, Find(set, "b"));
   // Of an endpoint that the route does not allow, the time does not matter.
   route.home_regions = {RegionId("other")};
   EXPECT_FALSE(FirstResume(set, kService, route, kStart));
@@ -255,18 +252,12 @@
 TEST(EndpointNoticesTest, NothingIsPlacedOnceAllEndpointsLeave) {
   EndpointSet set;
   RequestRoute route;
-  PlacementRequest request;
-  request.service = &kService;
-  request.route = &route;
-  const PlacementContext context;
   for (const char* it : {"a", "b"})
     ApplyRecord(set, MakeRecord(it), kStart);
   OnLeaving(set, Find(set, "a")->incarnation, kStart, kStart);
-  EXPECT_EQ(PlaceRequest(set, context, request, kStart).endpoint,
-            Find(set, "b"));
+  EXPECT_EQ(PlaceOn(set, route, kStart).endpoint, Find(set, "b"));
   OnLeaving(set, Find(set, "b")->incarnation, kStart, kStart);
-  const Placement none =
-      PlaceRequest(set, context, request, kStart + minutes(60));
+  const Placement none = PlaceOn(set, route, kStart + minutes(60));
   EXPECT_FALSE(none.endpoint);
   EXPECT_EQ(none.reason, PlacementReason::kNoEndpoint);
 }
