Log each send of a request whose route has home regions

One line a send has them, with the newest version that other hosts are known to have. Requests go as before.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -48,6 +48,13 @@
          (!answer.load || answer.load->running >= answer.load->slots);
 }
 
+std::string JoinRegions(const std::vector<RegionId>& regions) {
+  std::string out;
+  for (const RegionId& it : regions)
+    out += (out.empty() ? "" : ",") + it.value();
+  return out.empty() ? "-" : out;
+}
+
 }  // namespace
 
 GatewayExchange::GatewayExchange(GatewayState& state,
@@ -400,10 +407,41 @@
         .With("crashes", crashes)
         .With("send", sends_);
   }
+  LogHomeSend();
   t.stream->Write(FormatRequestHead(request_.method, request_.target, fields));
   SendBody();
 }
 
+// Logs a send whose route has home regions, or has some in the configuration in
+// effect.
+void GatewayExchange::LogHomeSend() const {
+  const RequestRoute* current =
+      state_.config ? FindRoute(*state_.config, request_.host, request_.path)
+                    : nullptr;
+  if (route_->home_regions.empty() &&
+      (!current || current->home_regions.empty()))
+    return;
+  const EndpointRecord& record = try_->endpoint->record;
+  const auto region = state_.settings.regions.find(record.zone);
+  LogLine(LogLevel::kInfo, "request",
+          "Sent a request whose route has home regions.")
+      .With("id", request_.id)
+      .With("route", route_->name)
+      .With("config", config_->version)
+      .With("homes", JoinRegions(route_->home_regions))
+      .With("config_in_effect", state_.config->version)
+      .With("homes_in_effect",
+            current ? JoinRegions(current->home_regions) : "no route")
+      .With("newest_known_config", NewestKnownVersion(state_.members))
+      .With("endpoint", record.id)
+      .With("region", record.region)
+      .With("region_by_settings", region == state_.settings.regions.end()
+                                      ? RegionId("-")
+                                      : region->second)
+      .With("waited_ms", Millis(state_.loop.Now() - arrived_))
+      .With("host_age_ms", Millis(state_.loop.Now() - state_.members.started));
+}
+
 void GatewayExchange::SendBody() {
   Try& t = *try_;
   if (t.request_sent || !t.stream)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -120,6 +120,7 @@
   void OnConnected();
   bool WithholdIfIneligible();
   void SendRequest();
+  void LogHomeSend() const;
   void SendBody();
   void OnEndpointDrained();
   // Starts to parse a new answer.
--- a/src/routing/host_members.cc
+++ b/src/routing/host_members.cc
@@ -250,6 +250,13 @@
   return now - members.started >= kHostTimeout;
 }
 
+uint64_t NewestKnownVersion(const HostMembers& members) {
+  uint64_t newest = members.self.config_version;
+  for (const auto& [id, member] : members.others)
+    newest = std::max(newest, member.notice.config_version);
+  return newest;
+}
+
 std::optional<size_t> CountKnownHosts(const HostMembers& members, Time now) {
   if (!KnowsHosts(members, now))
     return std::nullopt;
--- a/src/routing/host_members.h
+++ b/src/routing/host_members.h
@@ -180,6 +180,10 @@
 // would use their part of a shared limit as its own.
 bool KnowsHosts(const HostMembers& members, Time now);
 
+// The newest version of the configuration that any known host has, as far as
+// its gossip has told.
+uint64_t NewestKnownVersion(const HostMembers& members);
+
 // Number of hosts in KnownHostHashes(); nullopt as long as KnowsHosts() is
 // false.
 std::optional<size_t> CountKnownHosts(const HostMembers& members, Time now);
