--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,9 +19,11 @@
 inline constexpr std::chrono::milliseconds kAnswerTimeout{3000};
 
 // Returns the second octet of loopback addresses that no other test of this
-// process uses.
+// process uses. TEST_NETWORK sets the first one, for runs of two checkouts at
+// the same time.
 inline int NextLoopbackNetwork() {
-  static int network = 120;
+  static const char* first = std::getenv("TEST_NETWORK");
+  static int network = first ? std::atoi(first) : 120;
   return network++;
 }
 
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -67,9 +67,8 @@
       loop, config, [this](const Session& session) { Answer(session); }));
 }
 
-Json PlatformStandinStore::ObjectJson(const std::string& kind,
-                                      const std::string& name) {
-  const Object& object = kinds_[kind][name];
+Json PlatformStandinStore::ObjectJson(const std::string& name,
+                                      const Object& object) {
   return Json{{"metadata",
                {{"name", name},
                 {"revision", object.revision},
@@ -83,10 +82,10 @@
 void PlatformStandinStore::PublishEvent(const std::string& kind,
                                         const std::string& name,
                                         bool deleted) {
-  events_.push_back(
-      {revision_,
-       kind,
-       {{"deleted", deleted}, {"object", ObjectJson(kind, name)}}});
+  events_.push_back({revision_,
+                     kind,
+                     {{"deleted", deleted},
+                      {"object", ObjectJson(name, kinds_[kind][name])}}});
   if (deleted)
     kinds_[kind].erase(name);
   for (const auto& it :
@@ -130,6 +129,13 @@
   PublishEvent(kind, name, true);
 }
 
+void PlatformStandinStore::set_stale_lists(bool stale) {
+  if (!stale)
+    stale_.reset();
+  else if (!stale_)
+    stale_ = Snapshot{kinds_, revision_};
+}
+
 void PlatformStandinStore::DropWatchEvents() {
   for (const auto& it : pending_watches_)
     it->drops_events = true;
@@ -170,25 +176,27 @@
     const Json json = Json::parse(*body);
     const std::string name = json["metadata"]["name"];
     if (session->method() == "POST" && kinds_[kind].count(name) > 0) {
-      session->Respond(kHttpConflict, {}, ObjectJson(kind, name).dump());
+      session->Respond(kHttpConflict, {},
+                       ObjectJson(name, kinds_[kind][name]).dump());
       return;
     }
     Put(kind, name, json["specification"]);
-    session->Respond(kHttpOk, {}, ObjectJson(kind, name).dump());
+    session->Respond(kHttpOk, {}, ObjectJson(name, kinds_[kind][name]).dump());
   });
 }
 
 void PlatformStandinStore::AnswerList(const Session& session,
                                       const std::string& kind) {
   Json items = Json::array();
-  const auto& objects = kinds_[kind];
+  const bool is_stale = stale_ && session->Argument("stale-ok") == "1";
+  const auto& objects = is_stale ? stale_->kinds[kind] : kinds_[kind];
   auto it = objects.upper_bound(session->Argument("after").value_or(""));
   for (; it != objects.end() && items.size() < page_size_; ++it)
-    items.push_back(ObjectJson(kind, it->first));
+    items.push_back(ObjectJson(it->first, it->second));
   session->Respond(kHttpOk, {},
                    Dump({{"items", items},
                          {"has-more", it != objects.end()},
-                         {"as-of", revision_}}));
+                         {"as-of", is_stale ? stale_->revision : revision_}}));
 }
 
 bool PlatformStandinStore::TryAnswerWatch(PendingWatch& watch) {
@@ -388,7 +396,7 @@
   const HttpHead head = connection->reader->head();
   const std::string* id = FindField(head.fields, "Request-Id");
   const std::string request_id = id ? *id : "";
-  arrivals_.push_back({request_id, loop_.Now()});
+  arrivals_.push_back({request_id, head.target, loop_.Now()});
   const std::string* target_id = FindField(head.fields, "Target-Instance");
   const std::string body = std::exchange(connection->body, {});
   connection->reader = NewRequestReader(kLimits);
@@ -689,13 +697,14 @@
   return os.str();
 }
 
-PlatformStandinEndpoint& PlatformWorld::AddEndpoint(
-    const std::string& service) {
+PlatformStandinEndpoint& PlatformWorld::AddEndpoint(const std::string& service,
+                                                    const std::string& zone) {
   const int number = static_cast<int>(endpoints_.size()) + 1;
   endpoints_.push_back(std::make_unique<PlatformStandinEndpoint>(
       loop_, "i-" + std::to_string(number),
       HostAddress(100 + number, kEndpointPort)));
   PlatformStandinEndpoint& endpoint = *endpoints_.back();
+  endpoint.set_zone(zone);
   endpoint.set_on_restart(
       [this, &endpoint, service] { Register(endpoint, service); });
   Register(endpoint, service);
@@ -709,7 +718,7 @@
                    [&](const auto& it) { return it.get() == &endpoint; });
   const auto number = position - endpoints_.begin() + 1;
   store_->Put("servers", "i-" + std::to_string(number),
-              endpoint.Record(service, "cuyo-a"));
+              endpoint.Record(service, endpoint.zone()));
 }
 
 void PlatformWorld::PutConfig(int version, const std::string& extra_prefix) {
@@ -725,7 +734,7 @@
                      {"service", "rondas"},
                      {"max-attempts", 2},
                      {"sticky-session", true},
-                     {"home-regions", Json::array()}});
+                     {"home-regions", homes_[prefix]}});
   };
   add("/read/", "idempotent");
   add("/charge/", "non_idempotent");
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
   void DropHistory();
   // Lists are returned in pages of at most `n` objects.
   void set_page_size(size_t n) { page_size_ = n; }
+  // Lists that may be stale show the state at the first of these calls, until
+  // it is called with false.
+  void set_stale_lists(bool stale);
   // While `down` is set, all calls are answered 503.
   void set_down(bool down) { down_ = down; }
   // Answers all watches that wait with 503, for the end of a test.
@@ -61,6 +65,10 @@
     uint64_t revision = 0;
     nlohmann::json specification;
   };
+  struct Snapshot {
+    std::map<std::string, std::map<std::string, Object>> kinds;
+    uint64_t revision = 0;
+  };
   struct Event {
     uint64_t revision = 0;
     std::string kind;
@@ -84,7 +92,8 @@
                     bool deleted);
   std::string Dump(const nlohmann::json& body) const;
   bool TryAnswerWatch(PendingWatch& watch);
-  nlohmann::json ObjectJson(const std::string& kind, const std::string& name);
+  static nlohmann::json ObjectJson(const std::string& name,
+                                   const Object& object);
 
   Loop& loop_;
   std::unique_ptr<HttpServer> server_;
@@ -94,6 +103,7 @@
   uint64_t revision_ = 1;
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
+  std::optional<Snapshot> stale_;  // What lists that may be stale show.
   size_t page_size_ = 500;
   bool down_ = false;
   int calls_ = 0;
@@ -168,6 +178,7 @@
   const std::vector<Run>& runs() const { return runs_; }
   struct Arrival {
     std::string request_id;
+    std::string target;
     Time at;
   };
   // Requests received, whether run or refused.
@@ -214,6 +225,9 @@
       std::function<bool(const HttpHead& head, const std::string& body)>;
   void set_crash_rule(CrashRule rule) { crash_rule_ = std::move(rule); }
   void set_crash(StandinCrash crash) { crash_ = crash; }
+  // Availability zone in its records from now on.
+  void set_zone(std::string zone) { zone_ = std::move(zone); }
+  const std::string& zone() const { return zone_; }
   void set_on_restart(std::function<void()> fn) { on_restart_ = std::move(fn); }
   int crashes() const { return crashes_; }
   // Ends its leaving, and registers with a new start time.
@@ -254,6 +268,7 @@
 
   Loop& loop_;
   std::string id_;
+  std::string zone_;
   Address listen_;
   Socket listener_;
   std::unique_ptr<Watch> accept_watch_;
@@ -329,15 +344,22 @@
   PlatformWorld(const PlatformWorld&) = delete;
   PlatformWorld& operator=(const PlatformWorld&) = delete;
 
-  PlatformStandinEndpoint& AddEndpoint(const std::string& service);
+  PlatformStandinEndpoint& AddEndpoint(
+      const std::string& service,
+      const std::string& zone = kStandinZones[0].zone);
   // Writes the endpoint's record into the store.
   void Register(PlatformStandinEndpoint& endpoint, const std::string& service);
   // Writes a configuration whose routes all go to the service "rondas": /read/
   // and /archive/ (idempotent; /archive/ with a lower priority), /charge/ (not
   // idempotent), /upload/, /download/, and `extra_prefix` (idempotent) if not
   // empty.
-  // `version` must grow with each call.
+  // `version` must grow with each call. Home regions are those of SetHomes().
   void PutConfig(int version, const std::string& extra_prefix = "");
+  // Home regions of the route with this prefix, in configurations that are
+  // written from now on. Empty: any region.
+  void SetHomes(const std::string& prefix, std::vector<std::string> regions) {
+    homes_[prefix] = std::move(regions);
+  }
   // Starts gateway number `index`; returns the address for its callers.
   Address StartGateway(int index);
   // Writes the settings file of gateway `index` again and appends `more` to it.
@@ -396,6 +418,7 @@
   std::map<int, pid_t> gateways_;
   // Of gateways that do not use StoreAddress().
   std::map<int, Address> store_addresses_;
+  std::map<std::string, std::vector<std::string>> homes_;  // By path prefix.
   size_t zone_count_ = 1;  // Number of availability zones in use.
 };
 
