Handle requests that wait by the newest configuration

Callers saw requests run outside the homes of their route shortly after a version had moved them: charges behind other requests on a connection, uploads whose body was still coming, retries, and sends that waited for a connection.

Cause: a request kept the configuration of its arrival, and homes were read from that. In the failing test's log such a send has config=1 homes=cuyo while config_in_effect=2 homes_in_effect=pampa, up to 900 ms after its arrival.

A request now follows the configuration in effect when it begins, before each placement and before its first byte. If nothing was sent, the newest route decides as for a new arrival; otherwise the route stays, since it has decided what may be repeated, and only the homes move. Placement takes the homes of the request rather than those of a route.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -72,8 +72,7 @@
       arrived_(arrived),
       deadline_(arrived) {
   ++state_.open_exchanges;
-  if (config_)
-    route_ = FindRoute(*config_, request_.host, request_.path);
+  FollowConfiguration();
 }
 
 GatewayExchange::~GatewayExchange() {
@@ -92,6 +91,36 @@
   return deadline_ - state_.loop.Now();
 }
 
+// Applies the configuration in effect, which may be newer than the one at the
+// request's arrival. A request that was not sent yet is handled by it as if it
+// had just arrived. One that was sent keeps its route, but may not be sent
+// outside the new homes.
+void GatewayExchange::FollowConfiguration() {
+  if (followed_config_ == state_.config)
+    return;
+  const bool is_arriving = !followed_config_;
+  followed_config_ = state_.config;
+  const RequestRoute* route =
+      FindRoute(*followed_config_, request_.host, request_.path);
+  // A request whose route was dropped ends by the version that had it.
+  if (!route)
+    return;
+  homes_ = HomesOfRoute(*route);
+  // Whether it may repeat has decided its order on the caller's connection.
+  const bool keeps_order = MayRepeat(route->kind) == may_repeat();
+  if (!is_arriving && (sends_ > 0 || !keeps_order))
+    return;
+  config_ = followed_config_;
+  route_ = route;
+  if (service_.empty())
+    return;
+  const ServiceId& service = ChooseService(*route_, HashOfId());
+  if (service == service_)
+    return;
+  service_ = service;
+  RecordDemand();
+}
+
 void GatewayExchange::Begin() {
   begun_ = true;
   if (!config_) {
@@ -102,6 +131,7 @@
     SendOwnAnswer(kHttpBadRequest, "no_request_id", std::nullopt);
     return;
   }
+  FollowConfiguration();
   if (!route_) {
     SendOwnAnswer(kHttpNotFound, "no_route", std::nullopt);
     return;
@@ -253,12 +283,14 @@
 // Chooses an endpoint and sends the request to it, or refuses the request if
 // none is available or can answer it in time.
 void GatewayExchange::TryNext() {
+  FollowConfiguration();
   if (RefuseIfStopping())
     return;
   const Time now = state_.loop.Now();
   PlacementRequest query;
   query.service = &service_;
   query.route = route_;
+  query.homes = homes_;
   query.affinity_key = request_.affinity_key;
   query.random = HashPair(HashOfId(), tried_.size());
   query.has_large_bodies = HasLargeBodies(state_.body_sizes, *route_);
@@ -355,23 +387,29 @@
 
 void GatewayExchange::OnConnected() {
   connect_timer_.reset();
-  if (!WithholdIfIneligible())
+  if (!WithholdIfNotAllowed())
     SendRequest();
 }
 
-// Ends the try if the endpoint may no longer get requests: a record or an
-// answer may have said so while the connection was established. Returns whether
-// it did.
-bool GatewayExchange::WithholdIfIneligible() {
+// Ends the try if the endpoint may no longer get this request: a record, an
+// answer or a configuration may have said so while the connection was
+// established. Returns whether it did.
+bool GatewayExchange::WithholdIfNotAllowed() {
+  FollowConfiguration();
   const EndpointPtr& endpoint = try_->endpoint;
   const Eligibility eligibility =
       EligibilityOf(state_.endpoints, *endpoint, state_.loop.Now());
-  if (eligibility == Eligibility::kEligible)
+  const bool is_home = IsHome(homes_, endpoint->record.region);
+  const bool is_of_service = endpoint->record.service == service_;
+  if (eligibility == Eligibility::kEligible && is_home && is_of_service)
     return false;
   LogLine(LogLevel::kInfo, "request", "Withheld a request from an endpoint.")
       .With("id", request_.id)
       .With("endpoint", endpoint->record.id)
-      .With("eligibility", NameOf(eligibility));
+      .With("eligibility", NameOf(eligibility))
+      .With("is_home", is_home)
+      .With("is_of_service", is_of_service)
+      .With("config", followed_config_->version);
   // Deferred to a later turn, since TryNext() may be on the call stack.
   state_.loop.Post([weak = weak_from_this(), endpoint] {
     const auto self = weak.lock();
@@ -412,14 +450,9 @@
   SendBody();
 }
 
-// Logs a send whose route has home regions, or has some in the configuration in
-// effect.
+// Logs a send that is bound by home regions.
 void GatewayExchange::LogHomeSend() const {
-  const RequestRoute* current =
-      state_.config ? FindRoute(*state_.config, request_.host, request_.path)
-                    : nullptr;
-  if (route_->home_regions.empty() &&
-      (!current || current->home_regions.empty()))
+  if (!homes_.is_bound)
     return;
   const EndpointRecord& record = try_->endpoint->record;
   const auto region = state_.settings.regions.find(record.zone);
@@ -427,11 +460,8 @@
           "Sent a request whose route has home regions.")
       .With("id", request_.id)
       .With("route", route_->name)
-      .With("config", config_->version)
-      .With("homes", JoinRegions(route_->home_regions))
-      .With("config_in_effect", state_.config->version)
-      .With("homes_in_effect",
-            current ? JoinRegions(current->home_regions) : "no route")
+      .With("homes", JoinRegions(homes_.regions))
+      .With("config", followed_config_->version)
       .With("newest_known_config", NewestKnownVersion(state_.members))
       .With("endpoint", record.id)
       .With("region", record.region)
@@ -666,7 +696,7 @@
   const Duration time =
       RetryAfter(state_.admission, service_, UnitInterval(state_.random()));
   const std::optional<Time> resume =
-      FirstResume(state_.endpoints, service_, *route_, now);
+      FirstResume(state_.endpoints, service_, homes_, now);
   if (!resume)
     return time;
   // Not all at the instant at which the endpoint resumes.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -111,6 +111,7 @@
     Time sent_at;
   };
 
+  void FollowConfiguration();
   void RecordDemand();
   void StartTries();
   bool RefuseIfSuspect();
@@ -118,7 +119,7 @@
   void TryNext();
   void Connect(const EndpointPtr& endpoint);
   void OnConnected();
-  bool WithholdIfIneligible();
+  bool WithholdIfNotAllowed();
   void SendRequest();
   void LogHomeSend() const;
   void SendBody();
@@ -171,6 +172,10 @@
   // Keeps `route_` valid if the configuration changes.
   std::shared_ptr<const SteeringConfig> config_;
   const RequestRoute* route_ = nullptr;
+  // Where the request may be sent, by the newest configuration that it has
+  // followed.
+  HomeRegions homes_;
+  std::shared_ptr<const SteeringConfig> followed_config_;
   ServiceId service_;
   bool is_long_ = false;
   double reserved_share_ = 0;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -43,12 +43,6 @@
   double region_score = 0;  // Orders regions; the highest wins.
 };
 
-bool IsAllowed(const RequestRoute& route, const EndpointView& endpoint) {
-  return route.home_regions.empty() ||
-         std::find(route.home_regions.begin(), route.home_regions.end(),
-                   endpoint.record.region) != route.home_regions.end();
-}
-
 bool IsTried(const PlacementRequest& request, const EndpointView& endpoint) {
   return std::find(request.tried.begin(), request.tried.end(), &endpoint) !=
          request.tried.end();
@@ -82,7 +76,8 @@
                  const PlacementRequest& request,
                  bool with_ejected,
                  Time now) {
-  if (!IsEligible(set, endpoint, now) || !IsAllowed(*request.route, endpoint) ||
+  if (!IsEligible(set, endpoint, now) ||
+      !IsHome(request.homes, endpoint.record.region) ||
       IsTried(request, endpoint))
     return false;
   if (!with_ejected && now < endpoint.ejected_until)
@@ -301,7 +296,7 @@
         FindCandidates(set, endpoints, none, context, request, true, now);
   if (candidates.empty()) {
     const bool backs_off =
-        FirstResume(set, *request.service, *request.route, now).has_value();
+        FirstResume(set, *request.service, request.homes, now).has_value();
     return {
         nullptr,
         backs_off ? PlacementReason::kBackoff : PlacementReason::kNoEndpoint,
@@ -322,14 +317,14 @@
 
 std::optional<Time> FirstResume(const EndpointSet& set,
                                 const ServiceId& service,
-                                const RequestRoute& route,
+                                const HomeRegions& homes,
                                 Time now) {
   const auto it = set.by_service.find(service);
   if (it == set.by_service.end())
     return std::nullopt;
   std::optional<Time> first;
   for (const EndpointPtr& endpoint : it->second) {
-    if (!IsAllowed(route, *endpoint))
+    if (!IsHome(homes, endpoint->record.region))
       continue;
     const Eligibility eligibility = EligibilityOf(set, *endpoint, now);
     if (eligibility == Eligibility::kEligible)
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -18,6 +18,7 @@
 #include "base/names_table.h"
 #include "base/time.h"
 #include "routing/endpoint_set.h"
+#include "routing/home_regions.h"
 #include "routing/steering_config.h"
 #include "routing/urgent_reserve.h"
 
@@ -51,6 +52,8 @@
 struct PlacementRequest {
   const ServiceId* service = nullptr;
   const RequestRoute* route = nullptr;
+  // May differ from those of `route`, if a newer version has moved them.
+  HomeRegions homes;
   std::string_view affinity_key;  // Object id; empty: no object.
   uint64_t random = 0;            // Replaces the key's hash if there is no key.
   bool has_large_bodies = false;  // See HasLargeBodies().
@@ -111,11 +114,11 @@
                        const PlacementRequest& request,
                        Time now);
 
-// When the first of the endpoints that `route` allows resumes after a backoff.
-// Empty if any of them is eligible, or none backs off.
+// When the first of the endpoints in `homes` resumes after a backoff. Empty if
+// any of them is eligible, or none backs off.
 std::optional<Time> FirstResume(const EndpointSet& set,
                                 const ServiceId& service,
-                                const RequestRoute& route,
+                                const HomeRegions& homes,
                                 Time now);
 
 // Must be called when a request is sent to `endpoint`: sets the earliest time
--- a/tests/gateway/eligibility_paths_test.cc
+++ b/tests/gateway/eligibility_paths_test.cc
@@ -49,8 +49,10 @@
       {"Connect(placement.endpoint)", {{"exchange.cc", 1}}},
       {"Stream::Connect(", {{"exchange.cc", 1}, {"stream.cc", 1}}},
       {"pool.Take(", {{"exchange.cc", 1}}},
-      // Sends; both ways to a connection pass WithholdIfIneligible().
-      {"if (!WithholdIfIneligible())\n    SendRequest();",
+      {"IsHome(",
+       {{"exchange.cc", 1}, {"home_regions.cc", 1}, {"placement.cc", 2}}},
+      // Sends; both ways to a connection pass WithholdIfNotAllowed().
+      {"if (!WithholdIfNotAllowed())\n    SendRequest();",
        {{"exchange.cc", 1}}},
       {"SendRequest()", {{"exchange.cc", 2}}},
       // Keeps a connection; asks CountsAsCapacity() before.
--- a/tests/gateway/exchange_test.cc
+++ b/tests/gateway/exchange_test.cc
@@ -14,6 +14,7 @@
 
 const ServiceId kService("s");
 const ZoneId kZone("z");
+const RegionId kRegion("r");
 
 // Keeps what the exchange answers.
 class RecordingSink : public ExchangeSink {
@@ -69,16 +70,20 @@
   record.service = kService;
   record.address = address;
   record.zone = kZone;
+  record.region = kRegion;
   record.started_at_ms = 1;
   return record;
 }
 
-std::shared_ptr<const SteeringConfig> MakeConfig() {
+std::shared_ptr<const SteeringConfig> MakeConfig(
+    const std::vector<RegionId>& homes = {},
+    const ServiceId& service = kService) {
   auto config = std::make_shared<SteeringConfig>();
   RequestRoute route;
   route.name = "r";
   route.path_prefix = "/";
-  route.traffic_shares = {{kService, 1.0}};
+  route.home_regions = homes;
+  route.traffic_shares = {{service, 1.0}};
   config->hosts["h"] = {route};
   SortRoutes(*config);
   return config;
@@ -107,9 +112,17 @@
     const char* name;
     std::function<void(EndpointSet&, Time)> change;
     bool is_sent;
+    // In effect from then on; null: no new one.
+    std::shared_ptr<const SteeringConfig> config = nullptr;
   };
+  const auto nothing = [](EndpointSet&, Time) {};
   const std::vector<Case> cases = {
-      {"nothing changes", [](EndpointSet&, Time) {}, true},
+      {"nothing changes", nothing, true},
+      {"its region becomes the home", nothing, true, MakeConfig({kRegion})},
+      {"another region becomes the home", nothing, false,
+       MakeConfig({RegionId("elsewhere")})},
+      {"the route goes to another service", nothing, false,
+       MakeConfig({}, ServiceId("other"))},
       {"it says that it is leaving",
        [](EndpointSet& set, Time now) {
          OnLeaving(set, set.by_id.at(EndpointId("a"))->incarnation, now, now);
@@ -133,6 +146,7 @@
   ASSERT_TRUE(endpoint_.is_listening());
   for (const Case& it : cases) {
     SCOPED_TRACE(it.name);
+    state_.config = MakeConfig();
     state_.endpoints = {};
     ApplyRecord(state_.endpoints, MakeRecord(kAddress), loop_.Now());
     // Otherwise the request would be held back as one that crashes endpoints.
@@ -147,6 +161,8 @@
         std::make_shared<GatewayExchange>(state_, sink, head, loop_.Now());
     exchange->Begin();
     it.change(state_.endpoints, loop_.Now());
+    if (it.config)
+      state_.config = it.config;
     RunFor(milliseconds(100));
     EXPECT_EQ(endpoint_.received() > before, it.is_sent);
     EXPECT_EQ(sink->is_finished, !it.is_sent);
--- a/tests/routing/endpoint_notices_test.cc
+++ b/tests/routing/endpoint_notices_test.cc
@@ -50,6 +50,7 @@
   PlacementRequest request;
   request.service = &kService;
   request.route = &route;
+  request.homes = HomesOfRoute(route);
   return PlaceRequest(set, PlacementContext(), request, now);
 }
 
@@ -182,9 +183,11 @@
   ApplyRecord(set, MakeRecord("a"), kStart + seconds(2));
   EXPECT_EQ(EligibilityAt(set, "a", kStart + seconds(20)),
             Eligibility::kBackoff);
-  EXPECT_EQ(FirstResume(set, kService, route, kStart + seconds(3)),
-            kStart + seconds(21));
-  EXPECT_FALSE(FirstResume(set, kService, route, kStart + seconds(21)));
+  EXPECT_EQ(
+      FirstResume(set, kService, HomesOfRoute(route), kStart + seconds(3)),
+      kStart + seconds(21));
+  EXPECT_FALSE(
+      FirstResume(set, kService, HomesOfRoute(route), kStart + seconds(21)));
 }
 
 TEST(EndpointNoticesTest, ResumingEndpointGetsOneRequestUntilItAnswers) {
@@ -212,11 +215,12 @@
   const Placement refused = PlaceOn(set, route, kStart);
   EXPECT_FALSE(refused.endpoint);
   EXPECT_EQ(refused.reason, PlacementReason::kBackoff);
-  EXPECT_EQ(FirstResume(set, kService, route, kStart), kStart + seconds(3));
+  EXPECT_EQ(FirstResume(set, kService, HomesOfRoute(route), kStart),
+            kStart + seconds(3));
   EXPECT_EQ(PlaceOn(set, route, kStart + seconds(3)).endpoint, Find(set, "b"));
   // Of an endpoint that the route does not allow, the time does not matter.
   route.home_regions = {RegionId("other")};
-  EXPECT_FALSE(FirstResume(set, kService, route, kStart));
+  EXPECT_FALSE(FirstResume(set, kService, HomesOfRoute(route), kStart));
 }
 
 // A backoff and a leaving do not replace each other, in either order.
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -53,6 +53,7 @@
   PlacementRequest request;
   request.service = &kService;
   request.route = &route;
+  request.homes = HomesOfRoute(route);
   request.affinity_key = key;
   return request;
 }
