Bind a path by the homes of each route that it may mean

Callers that spelled a path in another way had their requests run outside the homes of the route that the endpoint took the path for: with /read/ open and /read/eu/ at home in pampa, 8 of 14 spellings (/read//eu/1, /read/%65u/1, /read/x/../eu/1, ...) reached endpoints in cuyo.

The service still follows from the path as written. Homes are now those that all routes have in common which the path may mean. Without a common home the request is refused.

PathIsBoundByTheHomesOfEachRouteThatItMayMean failed before and holds.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -105,7 +105,7 @@
   // A request whose route was dropped ends by the version that had it.
   if (!route)
     return;
-  homes_ = HomesOfRoute(*route);
+  homes_ = HomesOfRequest(*followed_config_, request_.host, request_.path);
   // Whether it may repeat has decided its order on the caller's connection.
   const bool keeps_order = MayRepeat(route->kind) == may_repeat();
   if (!is_arriving && (sends_ > 0 || !keeps_order))
--- a/src/routing/home_regions.h
+++ b/src/routing/home_regions.h
@@ -1,7 +1,12 @@
 // Home regions: the regions whose endpoints may get the requests of a route.
+//
+// A path may be spelled so that an endpoint, which resolves escapes, dot
+// segments and repeated slashes, takes it for a path of another route. Such a
+// request is bound by the homes of each route that it may mean.
 #ifndef ROUTING_HOME_REGIONS_H_
 #define ROUTING_HOME_REGIONS_H_
 
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -14,8 +19,16 @@
   std::vector<RegionId> regions;
 };
 
+// Restricts `homes` to those that the other one allows too.
+void Restrict(HomeRegions& homes, const HomeRegions& other);
+
 HomeRegions HomesOfRoute(const RequestRoute& route);
 
+// Homes of a request, by all routes that its path (without query) may mean.
+HomeRegions HomesOfRequest(const SteeringConfig& config,
+                           std::string_view host,
+                           std::string_view path);
+
 // Whether `region` is allowed. An unknown region, which is empty, is only
 // allowed where all are.
 bool IsHome(const HomeRegions& homes, const RegionId& region);
