Apply reloaded regions of zones to the endpoints that are known

After a reload that moved availability zones between regions, callers' requests went on running in endpoints of the zones' former regions, outside the homes of their routes: 44 of 44 in the failing test, logged with region=cuyo region_by_settings=litoral.

Cause: the region of an endpoint is looked up when its record is decoded. A reload replaced the settings' map, but not what had been looked up in it: the regions of known endpoints, this host's own, and the shares of callers.

A reload now applies the map to all three.

ReloadedZonesPutEndpointsIntoOtherRegions failed before and holds.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -455,7 +455,6 @@
   if (!homes_.is_bound)
     return;
   const EndpointRecord& record = try_->endpoint->record;
-  const auto region = state_.settings.regions.find(record.zone);
   LogLine(LogLevel::kInfo, "request",
           "Sent a request whose route has home regions.")
       .With("id", request_.id)
@@ -464,10 +463,8 @@
       .With("config", followed_config_->version)
       .With("newest_known_config", NewestKnownVersion(state_.members))
       .With("endpoint", record.id)
+      .With("zone", record.zone)
       .With("region", record.region)
-      .With("region_by_settings", region == state_.settings.regions.end()
-                                      ? RegionId("-")
-                                      : region->second)
       .With("waited_ms", Millis(state_.loop.Now() - arrived_))
       .With("host_age_ms", Millis(state_.loop.Now() - state_.members.started));
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -72,12 +72,7 @@
     self.cpu_share = settings.cpu_share;
     self.link_mbps = settings.link_mbps;
     state_.members.random.seed(state_.random());
-    state_.placement.own_region = settings.region;
-    // Assumes that callers are spread evenly over the availability zones.
-    for (const auto& [zone, region] : settings.regions) {
-      state_.placement.caller_shares[region] +=
-          1.0 / static_cast<double>(settings.regions.size());
-    }
+    ApplyRegions();
   }
 
   int Run() {
@@ -245,6 +240,19 @@
       Reload();
   }
 
+  // Applies the settings' regions of the availability zones.
+  void ApplyRegions() {
+    const GatewaySettings& settings = state_.settings;
+    SetRegions(state_.endpoints, settings.regions);
+    state_.placement.own_region = settings.region;
+    // Assumes that callers are spread evenly over the availability zones.
+    state_.placement.caller_shares.clear();
+    for (const auto& [zone, region] : settings.regions) {
+      state_.placement.caller_shares[region] +=
+          1.0 / static_cast<double>(settings.regions.size());
+    }
+  }
+
   // Applies bounds, seeds and regions from the file. Addresses and the host's
   // name keep their values from the start.
   void Reload() {
@@ -256,7 +264,9 @@
           state_.settings.retry_bound = fresh.retry_bound;
           state_.settings.directory_ttl = fresh.directory_ttl;
           state_.settings.stop_timeout = fresh.stop_timeout;
+          state_.settings.region = fresh.region;
           state_.settings.regions = fresh.regions;
+          ApplyRegions();
           LogLine(LogLevel::kInfo, kPart, "Reloaded settings.")
               .With("file", settings_path_);
           return true;
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -159,6 +159,13 @@
   return changes;
 }
 
+void SetRegions(EndpointSet& set, const std::map<ZoneId, RegionId>& regions) {
+  for (const auto& [id, endpoint] : set.by_id) {
+    const auto it = regions.find(endpoint->record.zone);
+    endpoint->record.region = it == regions.end() ? RegionId() : it->second;
+  }
+}
+
 void MarkRegistryUnreliable(EndpointSet& set, Time now) {
   ExtendRegistryUnreliable(set, kMissingRecordGracePeriod, now);
 }
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -11,6 +11,7 @@
 #define ROUTING_ENDPOINT_SET_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -147,6 +148,9 @@
     EndpointSet& set,
     const std::vector<EndpointRecord>& records,
     Time now);
+// Puts each endpoint into its zone's region in `regions`, which has changed. An
+// endpoint whose zone is not in it gets none.
+void SetRegions(EndpointSet& set, const std::map<ZoneId, RegionId>& regions);
 // Marks the registry as unreliable for kMissingRecordGracePeriod. Must be
 // called while it cannot be reached and when it becomes reachable again.
 void MarkRegistryUnreliable(EndpointSet& set, Time now);
