Send by home regions only while a host can know them

Callers saw requests run outside their homes at hosts that had just started, had been frozen, or were cut off from the store and the other hosts.

Cause: a host takes the state that it has for the one in effect. It started from lists that any replica of the store gives, seconds old (40 and 81 reads outside in the failing tests, the hosts' logs with config=1 while version 2 was in the store; an endpoint's former zone likewise), woke with its former version (5 reads), or went on without hearing anybody (99 reads in a second).

- The first list of the configuration is current.
Lists of endpoints may have many pages and stay cheap; until a relay whose own state is confirmed, or a current list of the store, has confirmed them, requests with homes are refused and a host that has such routes is not ready.
After 3 s without either, nobody can tell more, and the host serves by what it knows.

Refusals have Retry-After 0, since other hosts can serve. Weighed: current lists of all kinds at each start (they count against the limit of reads when all hosts start after a loss of power); refusing all routes (only homes must not be served by an older version).

--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -196,11 +196,21 @@
                                    removed,
                                    value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CacheSpan, kind, from, as_of, is_list, names)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CachePush,
-                                   doubt_ms,
-                                   store_age_ms,
-                                   spans,
-                                   items)
+inline void to_json(Json& json, const CachePush& push) {
+  json = {{"doubt_ms", push.doubt_ms},
+          {"store_age_ms", push.store_age_ms},
+          {"is_confirmed", push.is_confirmed},
+          {"spans", push.spans},
+          {"items", push.items}};
+}
+
+inline void from_json(const Json& json, CachePush& push) {
+  json.at("doubt_ms").get_to(push.doubt_ms);
+  json.at("store_age_ms").get_to(push.store_age_ms);
+  push.is_confirmed = json.value("is_confirmed", true);
+  json.at("spans").get_to(push.spans);
+  json.at("items").get_to(push.items);
+}
 
 // Parses the JSON payload of the document `name`. Any parse error becomes
 // kBadInput with the document's name and the reason.
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -376,6 +376,9 @@
   uint64_t doubt_ms = 0;
   // Time since the relay's last answer from the store.
   uint64_t store_age_ms = 0;
+  // Whether the relay's state is at least as new as its start. Relays of
+  // earlier versions do not say.
+  bool is_confirmed = true;
   std::vector<CacheSpan> spans;
   std::vector<CacheItem> items;
 };
--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -51,9 +51,15 @@
   std::string name;
 };
 
+enum class ListFreshness {
+  kCurrent,     // All that was written before the call.
+  kMayBeStale,  // May be seconds old; cheaper, if the store has replicas.
+};
+
 struct StoreList {
   std::string kind;
   Duration timeout{};  // Zero: the default of the store client.
+  ListFreshness freshness = ListFreshness::kCurrent;
 };
 
 // Writes `value` if the object's revision is `expected_revision`. Zero means
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -37,8 +37,9 @@
 // Retry-After until the first configuration is loaded, which takes about this
 // long.
 constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(500);
-// Retry-After of a stopping host; the caller can go to another host at once.
-constexpr Duration kStoppingRetryAfter = Duration(0);
+// Retry-After of a host that cannot serve what others can; the caller can go to
+// another host at once.
+constexpr Duration kOtherHostRetryAfter = Duration(0);
 
 // Whether an endpoint rejected a request because all its slots are in use. An
 // endpoint that reports free slots has rejected it for another reason.
@@ -208,7 +209,31 @@
       .With("longest_ms", Millis(LongestServiceTime(state_.admission, *route_)))
       .With("until_final_answers_ms", Millis(stopping.until_final))
       .With("must_not_be_cut", stopping.must_not_be_cut);
-  Refuse("stopping", kStoppingRetryAfter);
+  Refuse("stopping", kOtherHostRetryAfter);
+  return true;
+}
+
+// Refuses a request with home regions if this host cannot know that they, or
+// the regions of the endpoints, have not changed. Returns whether it was
+// refused.
+bool GatewayExchange::RefuseIfHomesAreUnknown() {
+  if (!homes_.is_bound)
+    return false;
+  const StateKnowledge knowledge =
+      KnowledgeOfState(state_.contact, state_.members, state_.loop.Now());
+  if (knowledge == StateKnowledge::kCurrent)
+    return false;
+  LogLine(LogLevel::kInfo, "request",
+          "Refused a request whose home regions may have changed.")
+      .With("id", request_.id)
+      .With("state", NameOf(knowledge))
+      .With("config", followed_config_->version)
+      .With("newest_known_config", NewestKnownVersion(state_.members))
+      .With("host_heard_ms_ago",
+            Millis(state_.loop.Now() - state_.contact.host_heard))
+      .With("store_answered_ms_ago",
+            Millis(state_.loop.Now() - state_.contact.store_answered));
+  Refuse("homes_unknown", kOtherHostRetryAfter);
   return true;
 }
 
@@ -284,7 +309,7 @@
 // none is available or can answer it in time.
 void GatewayExchange::TryNext() {
   FollowConfiguration();
-  if (RefuseIfStopping())
+  if (RefuseIfStopping() || RefuseIfHomesAreUnknown())
     return;
   const Time now = state_.loop.Now();
   PlacementRequest query;
@@ -795,7 +820,7 @@
     EndTry(try_->head_sent ? TryOutcome::kTimedOut : TryOutcome::kNotSent);
     return;
   }
-  Refuse("stopping", kStoppingRetryAfter);
+  Refuse("stopping", kOtherHostRetryAfter);
 }
 
 void GatewayExchange::OnCallerGone() {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "routing/body_sizes.h"
 #include "routing/crash_history.h"
 #include "routing/endpoint_set.h"
+#include "routing/host_contact.h"
 #include "routing/host_members.h"
 #include "routing/placement.h"
 #include "routing/steering_config.h"
@@ -39,6 +40,7 @@
   std::shared_ptr<const SteeringConfig> config;
   EndpointSet endpoints;
   HostMembers members;
+  HostContact contact;
   PlacementContext placement;
   AdmissionState admission;
   BodySizes body_sizes;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -245,6 +245,8 @@
         });
     const Time now = state_.loop.Now();
     const GossipResult news = OnGossip(state_.members, message, now);
+    if (!message.notices.empty())
+      state_.contact.host_heard = now;
     ApplyCrashNotices(message);
     ApplyLeavings(message);
     for (const HostId& it : news.appeared)
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "gateway/crash_report.h"
 #include "platform/platform.h"
+#include "routing/home_regions.h"
 
 namespace sassafras {
 
@@ -18,6 +19,10 @@
 constexpr Duration kLostStoreProbeInterval = std::chrono::milliseconds(1200);
 constexpr Duration kOwnHostRetryDelay = std::chrono::seconds(2);
 
+// After this time without relays and store, nobody can confirm a new host's
+// state, and it serves by what it knows.
+constexpr Duration kMaxUnconfirmedTime = std::chrono::seconds(3);
+
 constexpr char kMeshDeployment[] = "gateway";
 
 StoreObject ObjectOf(const CacheItem& item) {
@@ -44,7 +49,9 @@
       on_complete_(std::move(on_complete)),
       on_self_changed_(std::move(on_self_changed)),
       store_(platform::ConnectStore(state.loop, state.settings.store_address)),
-      started_(state.loop.Now()) {}
+      started_(state.loop.Now()) {
+  state_.contact.host_heard = started_;
+}
 
 Result<void> StoreCacheFeed::Start() {
   table_ = MakeStoreCache({platform::kConfigKind, platform::kEndpointKind,
@@ -109,23 +116,32 @@
       .With("complete", is_complete_);
 }
 
-// Reads a list of each kind from any replica of the store, which is cheap, so
-// that the host can serve before it has found a relay. The feed's source later
-// delivers what these lists miss.
+// Reads a list of each kind, so that the host can serve before it has found a
+// relay. The feed's source later delivers what changes after these lists.
 void StoreCacheFeed::ReadFirstLists() {
   for (const auto& [kind, known] : table_.kinds) {
-    store_->List({kind}, [this, name = kind](const StoreReply& reply) {
-      if (reply.status != StoreStatus::kOk || reply.as_of == 0 ||
-          table_.kinds[name].as_of > 0)
-        return;
-      OnStoreChange(name, {reply.objects, true, reply.as_of});
-    });
+    store_->List({kind, {}, FreshnessOfFirstList(kind)},
+                 [this, name = kind](const StoreReply& reply) {
+                   if (reply.status != StoreStatus::kOk ||
+                       reply.as_of <= table_.kinds[name].as_of)
+                     return;
+                   OnStoreChange(name, {reply.objects, true, reply.as_of});
+                 });
   }
 }
 
+// A host sends by the homes of its first configuration, which must not be older
+// than its start. The other kinds may have many pages; until they are
+// confirmed, requests with home regions are refused.
+ListFreshness StoreCacheFeed::FreshnessOfFirstList(
+    const std::string& kind) const {
+  return kind == platform::kConfigKind ? ListFreshness::kCurrent
+                                       : ListFreshness::kMayBeStale;
+}
+
 void StoreCacheFeed::OnStoreChange(const std::string& kind,
                                    const StoreChange& change) {
-  last_store_answer_ = state_.loop.Now();
+  OnStoreAnswer();
   const auto new_items = ApplyStoreChange(table_, kind, change);
   ApplyItems(new_items);
   if (new_items.empty() || !IsComplete(table_))
@@ -135,15 +151,44 @@
     Push(it.to, it.push);
 }
 
+void StoreCacheFeed::OnStoreAnswer() {
+  last_store_answer_ = state_.loop.Now();
+  state_.contact.store_answered = last_store_answer_;
+  state_.contact.store_tried = last_store_answer_;
+}
+
 void StoreCacheFeed::FollowStore() {
+  followed_kinds_.clear();
   for (const auto& [kind, known] : table_.kinds) {
     store_watches_.push_back(
-        store_->Follow(kind, [this, name = kind](const StoreChange& change) {
-          OnStoreChange(name, change);
-        }));
+        store_->Follow(kind,
+                       state_.contact.is_confirmed ? ListFreshness::kMayBeStale
+                                                   : ListFreshness::kCurrent,
+                       [this, name = kind](const StoreChange& change) {
+                         OnStoreChange(name, change);
+                         OnFollowed(name);
+                       }));
   }
 }
 
+// The state is confirmed once the followed lists of all kinds have arrived.
+void StoreCacheFeed::OnFollowed(const std::string& kind) {
+  followed_kinds_.insert(kind);
+  if (followed_kinds_.size() == table_.kinds.size())
+    Confirm("store");
+}
+
+// From now on, this host's state is at least as new as its start.
+void StoreCacheFeed::Confirm(const std::string& source) {
+  if (state_.contact.is_confirmed)
+    return;
+  state_.contact.is_confirmed = true;
+  LogLine(LogLevel::kInfo, "beliefs", "State is confirmed after the start.")
+      .With("source", source)
+      .With("ms", Millis(state_.loop.Now() - started_));
+  UpdateComplete();
+}
+
 void StoreCacheFeed::OnMessage(const HostId& from, const Message& message) {
   if (const auto* follow = std::get_if<CacheFollow>(&message))
     OnFollowMessage(from, *follow);
@@ -168,6 +213,9 @@
     ExtendRegistryUnreliable(state_.endpoints, MinUnreliableFor(choice_, now),
                              now);
   ApplyItems(ApplyPush(table_, push));
+  state_.contact.host_heard = now;
+  if (push.is_confirmed && IsUpToDate(table_, push))
+    Confirm(from.value());
 }
 
 void StoreCacheFeed::OnStoreReachable(bool reachable) {
@@ -186,6 +234,7 @@
 }
 
 void StoreCacheFeed::Push(const std::vector<HostId>& to, CachePush push) {
+  push.is_confirmed = state_.contact.is_confirmed;
   push.store_age_ms = static_cast<uint64_t>(
       std::max<int64_t>(Millis(state_.loop.Now() - last_store_answer_), 0));
   mesh_->SendToAll(to, push);
@@ -202,16 +251,20 @@
     return;
   is_probing_ = true;
   last_probe_ = state_.loop.Now();
-  store_->List({platform::kEvacuationKind, kProbeTimeout},
-               [this](const StoreReply& reply) {
-                 is_probing_ = false;
-                 if (reply.status == StoreStatus::kOk)
-                   last_store_answer_ = state_.loop.Now();
-               });
+  store_->List(
+      {platform::kEvacuationKind, kProbeTimeout, ListFreshness::kMayBeStale},
+      [this](const StoreReply& reply) {
+        is_probing_ = false;
+        state_.contact.store_tried = state_.loop.Now();
+        if (reply.status == StoreStatus::kOk)
+          OnStoreAnswer();
+      });
 }
 
 void StoreCacheFeed::OnTick() {
   const Time now = state_.loop.Now();
+  if (now - started_ >= kMaxUnconfirmedTime)
+    Confirm("-");
   if (choice_.source == FeedSource::kStore && !store_reachable_)
     MarkRegistryUnreliable(state_.endpoints, now);
   ApplyChanges(DropMissing(state_.endpoints, now));
@@ -231,7 +284,6 @@
 }
 
 void StoreCacheFeed::ApplyItems(const std::vector<CacheItem>& items) {
-  const bool was_complete = is_complete_;
   for (const CacheItem& it : items) {
     if (it.kind == platform::kEndpointKind)
       ApplyEndpoint(it);
@@ -240,7 +292,16 @@
     else if (it.kind == platform::kEvacuationKind)
       ApplyEvacuation(it);
   }
-  is_complete_ = IsComplete(table_) && state_.config;
+  UpdateComplete();
+}
+
+// The host is ready once it can serve all routes; those with home regions only
+// by a confirmed state.
+void StoreCacheFeed::UpdateComplete() {
+  const bool was_complete = is_complete_;
+  is_complete_ =
+      IsComplete(table_) && state_.config &&
+      (state_.contact.is_confirmed || !HasHomeRegions(*state_.config));
   if (is_complete_ && !was_complete)
     on_complete_();
 }
@@ -315,22 +376,24 @@
 }
 
 void StoreCacheFeed::ReadHosts() {
-  store_->List({platform::kHostKind}, [this](const StoreReply& reply) {
-    for (const StoreObject& object : reply.objects) {
-      TryOr(
-          [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(notice, platform::DecodeHost(object));
-            AddDiscoveredHost(state_.members, notice, state_.loop.Now());
-            return true;
-          },
-          [](const Error& e) {
-            LogLine(LogLevel::kWarning, "members",
-                    "Ignored a malformed host record.")
-                .With("reason", e.ToString());
-            return false;
-          });
-    }
-  });
+  store_->List({platform::kHostKind, {}, ListFreshness::kMayBeStale},
+               [this](const StoreReply& reply) {
+                 for (const StoreObject& object : reply.objects) {
+                   TryOr(
+                       [&]() -> Result<bool> {
+                         BOOST_LEAF_AUTO(notice, platform::DecodeHost(object));
+                         AddDiscoveredHost(state_.members, notice,
+                                           state_.loop.Now());
+                         return true;
+                       },
+                       [](const Error& e) {
+                         LogLine(LogLevel::kWarning, "members",
+                                 "Ignored a malformed host record.")
+                             .With("reason", e.ToString());
+                         return false;
+                       });
+                 }
+               });
 }
 
 // Writes this host's record to the store, so that hosts that start later can
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,12 +45,17 @@
 
  private:
   void ReadFirstLists();
+  ListFreshness FreshnessOfFirstList(const std::string& kind) const;
   void OnStoreChange(const std::string& kind, const StoreChange& change);
+  void OnStoreAnswer();
   void FollowStore();
+  void OnFollowed(const std::string& kind);
+  void Confirm(const std::string& source);
   void LogFeedChoice() const;
   void OnMessage(const HostId& from, const Message& message);
   void OnFollowMessage(const HostId& from, const CacheFollow& follow);
   void OnPush(const HostId& from, const CachePush& push);
+  void UpdateComplete();
   void ApplyItems(const std::vector<CacheItem>& items);
   void ApplyEndpoint(const CacheItem& item);
   void ApplyConfig(const CacheItem& item);
@@ -78,6 +84,8 @@
   Time last_store_answer_;  // From the store to this host.
   Time last_probe_;         // When ProbeStore() last sent a request.
   std::vector<std::unique_ptr<Watch>> store_watches_;
+  // Kinds whose lists have arrived since the store is followed.
+  std::set<std::string> followed_kinds_;
   std::unique_ptr<Watch> tick_;
   std::unique_ptr<Watch> own_host_retry_;
   bool is_complete_ = false;
--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -124,6 +124,16 @@
   return homes;
 }
 
+bool HasHomeRegions(const SteeringConfig& config) {
+  for (const auto& [host, routes] : config.hosts) {
+    if (std::any_of(routes.begin(), routes.end(), [](const RequestRoute& it) {
+          return !it.home_regions.empty();
+        }))
+      return true;
+  }
+  return false;
+}
+
 bool IsHome(const HomeRegions& homes, const RegionId& region) {
   if (!homes.is_bound)
     return true;
--- a/src/routing/home_regions.h
+++ b/src/routing/home_regions.h
@@ -29,6 +29,9 @@
                            std::string_view host,
                            std::string_view path);
 
+// Whether any route has home regions.
+bool HasHomeRegions(const SteeringConfig& config);
+
 // Whether `region` is allowed. An unknown region, which is empty, is only
 // allowed where all are.
 bool IsHome(const HomeRegions& homes, const RegionId& region);
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -219,6 +219,15 @@
   return applied;
 }
 
+bool IsUpToDate(const StoreCache& cache, const CachePush& push) {
+  return push.spans.size() == cache.kinds.size() &&
+         std::all_of(
+             push.spans.begin(), push.spans.end(), [&](const CacheSpan& span) {
+               const auto it = cache.kinds.find(span.kind);
+               return it != cache.kinds.end() && it->second.as_of >= span.as_of;
+             });
+}
+
 CachePush MakePush(const StoreCache& cache,
                    const CacheFollow& known,
                    Duration unreliable_for) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -28,10 +28,11 @@
   virtual void PutIf(const StorePut& put, Done done) = 0;
 
   // Lists the objects of a kind and then reports its changes until the returned
-  // Watch is destroyed. After an interruption it may report the complete list
-  // again.
+  // Watch is destroyed. `freshness` is that of the first list. After an
+  // interruption it may report the complete list again.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
+      ListFreshness freshness,
       std::function<void(StoreChange)> on_change) = 0;
 
   // `fn` is called when the store becomes reachable or unreachable for this
