Look-ups name hosts of the home regions before those of any region

Callers whose region had no ready host were told hosts of all regions, whatever homes the routes of the name had, so that requests with homes went to hosts in regions that are neither a home nor the callers'.

Cause: the directory knew neither the name that is asked for nor the configuration. It also answered with the few hosts it knew after its start.

A region without ready hosts is now told those in the homes that all routes of the name with homes have in common. If there are none, and the region's hosts have left in order or are starting, nobody is named: callers ask again and find these hosts back. If they fell silent, or the name has no homes, all hosts are named as before, since callers of a lost region must be served. A host that does not know the others yet names only hosts of the region asked for.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -182,10 +182,14 @@
   void HandleLookup(HttpSession& session) {
     const DirectoryQuery query{
         RegionId(session.Argument(platform::kRegionArgument).value_or("")),
-        ZoneId(session.Argument(platform::kZoneArgument).value_or(""))};
-    const DirectoryView view{&state_.members, &state_.settings.regions};
+        ZoneId(session.Argument(platform::kZoneArgument).value_or("")),
+        session.Argument(platform::kHostNameArgument).value_or("")};
+    const DirectoryView view{&state_.members, &state_.settings.regions,
+                             state_.config.get(),
+                             KnowsHosts(state_.members, loop_.Now())};
     const auto hosts = FindHosts(view, query, loop_.Now());
-    state_.metrics.Count("gateway_lookups_total", "");
+    state_.metrics.Count("gateway_lookups_total",
+                         hosts.empty() ? "result=\"none\"" : "");
     if (hosts.empty()) {
       session.Respond(kHttpServiceUnavailable, {}, "");
       return;
--- a/src/routing/directory.cc
+++ b/src/routing/directory.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/home_regions.h"
+
 namespace sassafras {
 
 namespace {
@@ -26,6 +28,20 @@
   return out;
 }
 
+// Whether the region has known hosts, all of which have left in order or are
+// starting, so that it will soon have ready ones again.
+bool IsAwayForAMoment(const DirectoryView& view, const RegionId& region) {
+  bool has_hosts = false;
+  for (const auto& [id, member] : view.members->others) {
+    if (RegionOf(view, member.notice.zone) != region)
+      continue;
+    if (member.notice.phase == HostPhase::kReady)
+      return false;
+    has_hosts = true;
+  }
+  return has_hosts;
+}
+
 template <typename Predicate>
 std::vector<Address> Select(const std::vector<const HostNotice*>& hosts,
                             Predicate matches) {
@@ -52,8 +68,17 @@
   found = Select(hosts, [&](const HostNotice& it) {
     return RegionOf(view, it.zone) == region;
   });
-  if (!found.empty())
+  if (!found.empty() || !view.knows_hosts)
     return found;
+  const HomeRegions homes =
+      view.config ? CommonHomes(*view.config, query.host_name) : HomeRegions();
+  if (homes.is_bound) {
+    found = Select(hosts, [&](const HostNotice& it) {
+      return IsHome(homes, RegionOf(view, it.zone));
+    });
+    if (!found.empty() || IsAwayForAMoment(view, region))
+      return found;
+  }
   return Select(hosts, [](const HostNotice&) { return true; });
 }
 
--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -124,6 +124,15 @@
   return homes;
 }
 
+HomeRegions CommonHomes(const SteeringConfig& config, std::string_view host) {
+  HomeRegions homes;
+  if (const std::vector<RequestRoute>* routes = FindRoutes(config, host)) {
+    for (const RequestRoute& it : *routes)
+      Restrict(homes, HomesOfRoute(it));
+  }
+  return homes;
+}
+
 bool HasHomeRegions(const SteeringConfig& config) {
   for (const auto& [host, routes] : config.hosts) {
     if (std::any_of(routes.begin(), routes.end(), [](const RequestRoute& it) {
--- a/src/routing/home_regions.h
+++ b/src/routing/home_regions.h
@@ -29,6 +29,9 @@
                            std::string_view host,
                            std::string_view path);
 
+// Regions that are homes of every route of `host` that has homes.
+HomeRegions CommonHomes(const SteeringConfig& config, std::string_view host);
+
 // Whether any route has home regions.
 bool HasHomeRegions(const SteeringConfig& config);
 
--- a/src/routing/steering_config.cc
+++ b/src/routing/steering_config.cc
@@ -97,13 +97,19 @@
          route.priority >= it->second;
 }
 
+const std::vector<RequestRoute>* FindRoutes(const SteeringConfig& config,
+                                            std::string_view host) {
+  const auto it = config.hosts.find(HostName(host));
+  return it == config.hosts.end() ? nullptr : &it->second;
+}
+
 const RequestRoute* FindRoute(const SteeringConfig& config,
                               std::string_view host,
                               std::string_view path) {
-  const auto it = config.hosts.find(HostName(host));
-  if (it == config.hosts.end())
+  const std::vector<RequestRoute>* routes = FindRoutes(config, host);
+  if (!routes)
     return nullptr;
-  for (const RequestRoute& route : it->second) {
+  for (const RequestRoute& route : *routes) {
     if (BeginsWith(path, route.path_prefix))
       return &route;
   }
--- a/src/routing/steering_config.h
+++ b/src/routing/steering_config.h
@@ -99,8 +99,13 @@
                 const ServiceId& service,
                 const RequestRoute& route);
 
+// The routes of `host` (with or without port, in any case), longest prefix
+// first; null if it has none.
+const std::vector<RequestRoute>* FindRoutes(const SteeringConfig& config,
+                                            std::string_view host);
+
 // The route with the longest prefix of `path` (without query) among those of
-// `host` (with or without port, in any case); null if there is none.
+// `host`, see FindRoutes(); null if there is none.
 const RequestRoute* FindRoute(const SteeringConfig& config,
                               std::string_view host,
                               std::string_view path);
--- a/tests/gateway/eligibility_paths_test.cc
+++ b/tests/gateway/eligibility_paths_test.cc
@@ -50,7 +50,10 @@
       {"Stream::Connect(", {{"exchange.cc", 1}, {"stream.cc", 1}}},
       {"pool.Take(", {{"exchange.cc", 1}}},
       {"IsHome(",
-       {{"exchange.cc", 1}, {"home_regions.cc", 2}, {"placement.cc", 2}}},
+       {{"exchange.cc", 1},
+        {"directory.cc", 1},
+        {"home_regions.cc", 2},
+        {"placement.cc", 2}}},
       // Sends; both ways to a connection pass WithholdIfNotAllowed().
       {"if (!WithholdIfNotAllowed())\n    SendRequest();",
        {{"exchange.cc", 1}}},
--- a/tests/routing/home_regions_test.cc
+++ b/tests/routing/home_regions_test.cc
@@ -85,5 +85,13 @@
   EXPECT_FALSE(IsHome({true, {kA, RegionId()}}, RegionId()));
 }
 
+TEST(HomeRegionsTest, CommonHomesAreThoseOfEveryRouteThatHasSome) {
+  const SteeringConfig config =
+      MakeConfig({MakeRoute("/", {}), MakeRoute("/x/", {kA, kB}),
+                  MakeRoute("/y/", {kB, kC})});
+  EXPECT_EQ(CommonHomes(config, "H:8144").regions, std::vector<RegionId>{kB});
+  EXPECT_FALSE(CommonHomes(config, "other").is_bound);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/routing/host_members_test.cc
+++ b/tests/routing/host_members_test.cc
@@ -97,8 +97,8 @@
     if (world.is_down[ip])
       continue;
     for (const char* zone : {"a", "b"}) {
-      for (const Address& it :
-           FindHosts({&members, &regions}, {RegionId("r"), ZoneId(zone)}, now))
+      for (const Address& it : FindHosts(
+               {&members, &regions}, {RegionId("r"), ZoneId(zone), ""}, now))
         EXPECT_NE(it.ip, "10.0.0.7");
     }
   }
@@ -184,7 +184,7 @@
                                               {ZoneId("b"), RegionId("r")}};
   for (const auto& [ip, members] : world.hosts) {
     const auto found =
-        FindHosts({&members, &regions}, {RegionId("r"), ZoneId("b")}, now);
+        FindHosts({&members, &regions}, {RegionId("r"), ZoneId("b"), ""}, now);
     EXPECT_FALSE(found.empty());
     for (const Address& it : found)
       EXPECT_NE(it.ip, "10.0.0.4");
@@ -248,10 +248,14 @@
                                               {ZoneId("b"), RegionId("r")},
                                               {ZoneId("c"), RegionId("q")}};
   const DirectoryView view{&members, &regions};
-  EXPECT_EQ(FindHosts(view, {RegionId("r"), ZoneId("a")}, kStart).size(), 2U);
-  EXPECT_EQ(FindHosts(view, {RegionId("r"), ZoneId("b")}, kStart).size(), 3U);
-  EXPECT_EQ(FindHosts(view, {RegionId("q"), ZoneId("c")}, kStart).size(), 1U);
-  EXPECT_EQ(FindHosts(view, {RegionId("x"), ZoneId("x")}, kStart).size(), 4U);
+  EXPECT_EQ(FindHosts(view, {RegionId("r"), ZoneId("a"), ""}, kStart).size(),
+            2U);
+  EXPECT_EQ(FindHosts(view, {RegionId("r"), ZoneId("b"), ""}, kStart).size(),
+            3U);
+  EXPECT_EQ(FindHosts(view, {RegionId("q"), ZoneId("c"), ""}, kStart).size(),
+            1U);
+  EXPECT_EQ(FindHosts(view, {RegionId("x"), ZoneId("x"), ""}, kStart).size(),
+            4U);
 }
 
 // A restarted host has lost its state, such as the crash history, and needs a
