Ignore SIGHUP until the gateway handles it

Until the gateway's handler was set, SIGHUP ended the process by its default action.

It is ignored from the command's begin on; the settings are read after that.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 #include <CLI/CLI.hpp>
 
+#include <csignal>
 #include <iostream>
 
 #include "app/processes.h"
@@ -60,6 +61,9 @@
 }
 
 int RunGatewayCommand(std::string file) {
+  // Until the gateway handles it: the platform may send it at any time, and the
+  // default action ends the process.
+  std::signal(SIGHUP, SIG_IGN);
   if (file.empty())
     file = sassafras::platform::SettingsPath();
   sassafras::InitLog(sassafras::LogLevel::kInfo);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -40,6 +40,14 @@
 constexpr milliseconds kRetryAfterTime{1500};
 constexpr milliseconds kRefusalGrace{500};
 constexpr int kMaxEarlyRequests = 2;
+// Time after which a version must be in effect at all hosts, counted from when
+// the store answers.
+constexpr milliseconds kConfigApply{2500};
+// How long lists that may be stale are behind a change.
+constexpr milliseconds kStale{3000};
+// Of their kinds of route, with home regions.
+constexpr const char* kReadWithHomes = "/read/home/";
+constexpr const char* kChargeWithHomes = "/charge/home/";
 constexpr const char* kService = "rondas";
 // In the path of requests that crash endpoints.
 constexpr const char* kCrashMark = "crash";
@@ -78,6 +86,12 @@
   std::vector<Time> harmed;  // When the way to it was harmed.
 };
 
+// The home region that a version has given the routes with homes.
+struct SoakHomes {
+  std::string region;
+  Time written;
+};
+
 struct SoakHost {
   std::unique_ptr<FaultProxy> store;
   bool is_ending = false;  // It was told to end.
@@ -92,6 +106,7 @@
       : options_(options),
         random_(options.seed),
         notice_random_(options.seed),
+        home_random_(options.seed),
         world_(options.network) {
     world_.UseAllZones();
   }
@@ -126,6 +141,9 @@
   void Freeze(int host);
   void Restart(int host, milliseconds delay);
   void ChangeConfig();
+  void PutHome(const std::string& region);
+  bool MayBeHome(const std::string& region, Time at);
+  void CheckHomes(const SoakEndpoint& endpoint);
   void Leave();
   SoakEndpoint& EndpointOf(const std::string& id);
   void Evacuate();
@@ -150,10 +168,15 @@
   // For what endpoints say in their answers. Draws from `random_` would change
   // the faults of the seeds that have found something.
   std::mt19937_64 notice_random_;
+  // For home regions; apart for the same reason.
+  std::mt19937_64 home_random_;
   PlatformWorld world_;
   std::unique_ptr<SoakCallers> callers_;
   std::map<int, SoakHost> hosts_;
   std::vector<SoakEndpoint> endpoints_;
+  std::vector<SoakHomes> homes_;  // Of all versions.
+  // When the store was down.
+  std::vector<std::pair<Time, Time>> outages_;
   std::vector<std::unique_ptr<Watch>> timers_;
   // Requests that crash endpoints, by their path, while they come again.
   std::map<std::string, std::unique_ptr<Watch>> crashing_;
@@ -165,6 +188,14 @@
   Time started_;
 };
 
+std::string RegionOf(const std::string& zone) {
+  for (const StandinZone& it : kStandinZones) {
+    if (zone == it.zone)
+      return it.region;
+  }
+  return "";
+}
+
 void SoakRun::Note(const std::string& what) {
   const auto ms = Millis(loop().Now() - started_);
   report_.faults.push_back(std::to_string(ms) + " ms " + what);
@@ -193,10 +224,10 @@
 void SoakRun::AddEndpoint() {
   const int n = static_cast<int>(endpoints_.size()) + 1;
   SoakEndpoint it;
-  it.standin = &world_.AddEndpoint(kService);
+  it.zone = kStandinZones[static_cast<size_t>(n) % kStandinZones.size()].zone;
+  it.standin = &world_.AddEndpoint(kService, it.zone);
   it.standin->set_work_time(PickTime(5, 60));
   it.id = "i-" + std::to_string(n);
-  it.zone = kStandinZones[static_cast<size_t>(n) % kStandinZones.size()].zone;
   const nlohmann::json record = it.standin->Record(kService, it.zone);
   const Address target =
       Address::Parse(record["address"].get<std::string>()).value();
@@ -247,7 +278,9 @@
   if (!hosts_[host].takes_callers)
     return;
   const uint64_t kind = Pick(100);
-  callers_->Send(host, kind < 45   ? "/read/"
+  const bool has_homes = home_random_() % 3 == 0;
+  callers_->Send(host, has_homes ? kind < 60 ? kReadWithHomes : kChargeWithHomes
+                       : kind < 45 ? "/read/"
                        : kind < 60 ? "/archive/"
                        : kind < 90 ? "/charge/"
                                    : "/upload/");
@@ -322,10 +355,22 @@
   });
 }
 
-// Each version adds a route and drops that of the version before.
+// Each version adds a route, drops that of the version before and moves the
+// home of the routes that have one.
 void SoakRun::ChangeConfig() {
+  PutHome(kStandinZones[home_random_() % kStandinZones.size()].region);
+}
+
+void SoakRun::PutHome(const std::string& region) {
+  if (home_random_() % 3 == 0) {
+    world_.store().set_stale_lists(true);
+    Later(kStale, [this] { world_.store().set_stale_lists(false); });
+  }
   ++version_;
-  Note("configuration " + std::to_string(version_));
+  Note("configuration " + std::to_string(version_) + ", home " + region);
+  homes_.push_back({region, loop().Now()});
+  for (const char* it : {kReadWithHomes, kChargeWithHomes})
+    world_.SetHomes(it, {region});
   world_.PutConfig(version_, "/v" + std::to_string(version_) + "/");
 }
 
@@ -392,7 +437,9 @@
   }
   Note("store down");
   world_.store().set_down(true);
-  Later(PickTime(300, 2500), [this] { world_.store().set_down(false); });
+  const milliseconds time = PickTime(300, 2500);
+  outages_.push_back({loop().Now(), loop().Now() + time});
+  Later(time, [this] { world_.store().set_down(false); });
 }
 
 void SoakRun::CutFromStore(int host) {
@@ -514,6 +561,10 @@
     Violate("a host is not back after the faults");
   for (auto& [path, timer] : crashing_)
     timer.reset();
+  const auto serving =
+      std::find_if(endpoints_.begin(), endpoints_.end(),
+                   [](const auto& it) { return !it.has_left; });
+  PutHome(RegionOf(serving->zone));
   Note("calm");
   Wait(kStableWindow);
 }
@@ -662,12 +713,49 @@
   }
 }
 
+// Whether a version that gives the routes this home may be in effect at some
+// host: it is the newest one, or the next is not old enough.
+bool SoakRun::MayBeHome(const std::string& region, Time at) {
+  for (size_t i = 0; i < homes_.size(); ++i) {
+    if (homes_[i].region != region || homes_[i].written > at)
+      continue;
+    if (i + 1 == homes_.size())
+      return true;
+    Time known = homes_[i + 1].written;
+    for (const auto& [begin, end] : outages_) {
+      if (begin <= known + kConfigApply && known < end)
+        known = end;
+    }
+    if (at <= known + kConfigApply)
+      return true;
+  }
+  return false;
+}
+
+// Requests whose routes have homes reach no other region, whatever happens to
+// the hosts.
+void SoakRun::CheckHomes(const SoakEndpoint& endpoint) {
+  const auto& requests = callers_->requests();
+  const std::string region = RegionOf(endpoint.zone);
+  for (const auto& arrival : endpoint.standin->all_arrivals()) {
+    const bool has_homes = arrival.target.rfind(kReadWithHomes, 0) == 0 ||
+                           arrival.target.rfind(kChargeWithHomes, 0) == 0;
+    const auto it = requests.find(arrival.request_id);
+    if (!has_homes || it == requests.end() || MayBeHome(region, arrival.at))
+      continue;
+    ViolateRequest(*it->second,
+                   "reaches " + endpoint.id + " in " + region + " at " +
+                       std::to_string(Millis(arrival.at - started_)) + " ms");
+  }
+}
+
 // What holds at all times, from what callers and endpoints have seen.
 void SoakRun::CheckAll() {
   std::map<std::string, int> runs;
   const auto& requests = callers_->requests();
   for (const SoakEndpoint& endpoint : endpoints_) {
     CheckLeaver(endpoint);
+    CheckHomes(endpoint);
     CheckRefusals(endpoint);
     for (const auto& run : endpoint.standin->runs()) {
       ++runs[run.request_id];
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -725,16 +725,19 @@
   Json paths = Json::array();
   const auto add = [&](const std::string& prefix, const std::string& kind,
                        double target = 0.3, int priority = 0) {
-    paths.push_back({{"name", "r" + prefix},
-                     {"path-prefix", prefix},
-                     {"route-type", kind},
-                     {"timeout-s", 2},
-                     {"target-latency-s", target},
-                     {"priority", priority},
-                     {"service", "rondas"},
-                     {"max-attempts", 2},
-                     {"sticky-session", true},
-                     {"home-regions", homes_[prefix]}});
+    const auto homes = homes_.find(prefix);
+    paths.push_back(
+        {{"name", "r" + prefix},
+         {"path-prefix", prefix},
+         {"route-type", kind},
+         {"timeout-s", 2},
+         {"target-latency-s", target},
+         {"priority", priority},
+         {"service", "rondas"},
+         {"max-attempts", 2},
+         {"sticky-session", true},
+         {"home-regions",
+          homes == homes_.end() ? std::vector<std::string>() : homes->second}});
   };
   add("/read/", "idempotent");
   add("/charge/", "non_idempotent");
@@ -745,6 +748,15 @@
   add("/archive/", "idempotent", 3.0, 2);
   if (!extra_prefix.empty())
     add(extra_prefix, "idempotent");
+  const Json standard = paths;
+  for (const auto& [prefix, homes] : homes_) {
+    const bool is_listed = std::any_of(
+        standard.begin(), standard.end(),
+        [&](const Json& it) { return it["path-prefix"] == prefix; });
+    if (!is_listed)
+      add(prefix,
+          prefix.rfind("/charge/", 0) == 0 ? "non_idempotent" : "idempotent");
+  }
   store_->Put("config", "main",
               {{"version", "r" + std::to_string(version)},
                {"services", {{{"name", "rondas"}}}},
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -356,7 +356,8 @@
   // `version` must grow with each call. Home regions are those of SetHomes().
   void PutConfig(int version, const std::string& extra_prefix = "");
   // Home regions of the route with this prefix, in configurations that are
-  // written from now on. Empty: any region.
+  // written from now on. Empty: any region. A prefix that PutConfig() does not
+  // list becomes a route, not idempotent if it begins with /charge/.
   void SetHomes(const std::string& prefix, std::vector<std::string> regions) {
     homes_[prefix] = std::move(regions);
   }
