Soak: routes whose home regions move with each version

A third of the requests go to routes with homes. Each version moves them, and after one in three the lists that may be stale show the state before it for 3 s. Some callers go on with the address of a host that starts again. Arrivals are judged by the region in which the endpoint stands: by the versions that may be in effect, where a version must be in effect everywhere 2.5 s after the store could answer with it, and by the version that the host has shown by its own sends, from 250 ms on and across its restarts.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -43,12 +43,19 @@
 // Time after which a version must be in effect at all hosts, counted from when
 // the store answers.
 constexpr milliseconds kConfigApply{2500};
+// A host that has shown a version may still send by an older one for this long.
+constexpr milliseconds kRevertSlack{250};
 // How long lists that may be stale are behind a change.
 constexpr milliseconds kStale{3000};
 // Of their kinds of route, with home regions.
 constexpr const char* kReadWithHomes = "/read/home/";
 constexpr const char* kChargeWithHomes = "/charge/home/";
 constexpr const char* kService = "rondas";
+// Ids of requests that SoakCallers do not send begin so.
+const std::string kProbe = "probe";
+// Requests of callers that go on with the address of a host that starts again.
+constexpr int kFirstRequests = 20;
+constexpr milliseconds kFirstRequestPeriod{30};
 // In the path of requests that crash endpoints.
 constexpr const char* kCrashMark = "crash";
 
@@ -92,6 +99,11 @@
   Time written;
 };
 
+struct FirstCaller {
+  int host = 0;
+  std::unique_ptr<PlatformStandinCaller> caller;
+};
+
 struct SoakHost {
   std::unique_ptr<FaultProxy> store;
   bool is_ending = false;  // It was told to end.
@@ -122,6 +134,7 @@
   }
   int PickHost() { return 1 + static_cast<int>(Pick(options_.hosts)); }
   void Note(const std::string& what);
+  void AddLogLines(const std::string& id);
   void Violate(const std::string& what) { report_.violations.push_back(what); }
   void ViolateRequest(const SoakRequest& request, const std::string& what);
   void Later(milliseconds delay, std::function<void()> fn);
@@ -136,14 +149,17 @@
   void Poll();
   void Harm();
   void BreakSomething();
+  void SendFirst(int host);
+  int HostOf(const std::string& id) const;
   void Stop(int host);
   void Kill(int host);
   void Freeze(int host);
   void Restart(int host, milliseconds delay);
   void ChangeConfig();
   void PutHome(const std::string& region);
-  bool MayBeHome(const std::string& region, Time at);
-  void CheckHomes(const SoakEndpoint& endpoint);
+  Time InEffectFrom(size_t i) const;
+  size_t FindVersion(const std::string& region, size_t first, Time at) const;
+  void CheckHomes(int host);
   void Leave();
   SoakEndpoint& EndpointOf(const std::string& id);
   void Evacuate();
@@ -172,6 +188,7 @@
   std::mt19937_64 home_random_;
   PlatformWorld world_;
   std::unique_ptr<SoakCallers> callers_;
+  std::map<std::string, FirstCaller> first_callers_;  // By their request's id.
   std::map<int, SoakHost> hosts_;
   std::vector<SoakEndpoint> endpoints_;
   std::vector<SoakHomes> homes_;  // Of all versions.
@@ -201,16 +218,20 @@
   report_.faults.push_back(std::to_string(ms) + " ms " + what);
 }
 
-// Adds what the hosts logged of the request, so that a failure that shows once
-// can be traced.
 void SoakRun::ViolateRequest(const SoakRequest& request,
                              const std::string& what) {
   Violate(request.id + " (" + request.path + ") to host " +
           std::to_string(request.host) + " " + what);
+  AddLogLines(request.id);
+}
+
+// Adds what the hosts logged of the request, so that a failure that shows once
+// can be traced.
+void SoakRun::AddLogLines(const std::string& id) {
   for (int host = 1; host <= options_.hosts; ++host) {
     std::ifstream log(world_.LogPathOf(host));
     for (std::string line; std::getline(log, line);) {
-      if (line.find("id=" + request.id + " ") != std::string::npos)
+      if (line.find("id=" + id + " ") != std::string::npos)
         report_.log_lines.push_back("host " + std::to_string(host) + ": " +
                                     line);
     }
@@ -304,6 +325,8 @@
     }
     callers_->ForgetHost(host);
     world_.StartGateway(host);
+    for (int i = 1; i <= kFirstRequests; ++i)
+      Later(i * kFirstRequestPeriod, [this, host] { SendFirst(host); });
     hosts_[host].is_ending = false;
     hosts_[host].disturbed.push_back(loop().Now());
     // Callers ask the directory, which names hosts that are ready.
@@ -313,6 +336,24 @@
   });
 }
 
+// Some callers go on with the address of a host that starts again.
+void SoakRun::SendFirst(int host) {
+  const std::string id =
+      kProbe + "first" + std::to_string(first_callers_.size());
+  first_callers_[id] = {host, std::make_unique<PlatformStandinCaller>(
+                                  loop(), world_.CallerAddressOf(host))};
+  first_callers_[id].caller->Send(RequestText("GET", kReadWithHomes + id, id));
+}
+
+// The host that callers sent the request to; 0 if it is unknown.
+int SoakRun::HostOf(const std::string& id) const {
+  const auto it = callers_->requests().find(id);
+  if (it != callers_->requests().end())
+    return it->second->host;
+  const auto first = first_callers_.find(id);
+  return first == first_callers_.end() ? 0 : first->second.host;
+}
+
 void SoakRun::Stop(int host) {
   SoakHost& it = hosts_[host];
   // Callers keep what they have open and find other hosts for new ones; one
@@ -572,7 +613,7 @@
 int SoakRun::StatusOf(int host, const std::string& path) {
   PlatformStandinCaller caller(loop(), world_.CallerAddressOf(host));
   caller.Send(
-      RequestText("GET", path + "1", "probe" + std::to_string(++next_probe_)));
+      RequestText("GET", path + "1", kProbe + std::to_string(++next_probe_)));
   world_.RunUntil(kRouteTimeout + kTimeoutSlack, [&] {
     return !caller.answers().empty() || caller.is_closed();
   });
@@ -713,39 +754,66 @@
   }
 }
 
-// Whether a version that gives the routes this home may be in effect at some
-// host: it is the newest one, or the next is not old enough.
-bool SoakRun::MayBeHome(const std::string& region, Time at) {
-  for (size_t i = 0; i < homes_.size(); ++i) {
-    if (homes_[i].region != region || homes_[i].written > at)
-      continue;
-    if (i + 1 == homes_.size())
-      return true;
-    Time known = homes_[i + 1].written;
-    for (const auto& [begin, end] : outages_) {
-      if (begin <= known + kConfigApply && known < end)
-        known = end;
-    }
-    if (at <= known + kConfigApply)
-      return true;
+// When the version `i` must be in effect at all hosts.
+Time SoakRun::InEffectFrom(size_t i) const {
+  Time known = homes_[i].written;
+  for (const auto& [begin, end] : outages_) {
+    if (begin <= known + kConfigApply && known < end)
+      known = end;
   }
-  return false;
+  return known + kConfigApply;
+}
+
+// The oldest version from `first` on that may be in effect at `at` and has this
+// home; homes_.size() if there is none.
+size_t SoakRun::FindVersion(const std::string& region,
+                            size_t first,
+                            Time at) const {
+  for (size_t i = first; i < homes_.size() && homes_[i].written <= at; ++i) {
+    const bool is_replaced = i + 1 < homes_.size() && InEffectFrom(i + 1) < at;
+    if (homes_[i].region == region && !is_replaced)
+      return i;
+  }
+  return homes_.size();
 }
 
 // Requests whose routes have homes reach no other region, whatever happens to
-// the hosts.
-void SoakRun::CheckHomes(const SoakEndpoint& endpoint) {
-  const auto& requests = callers_->requests();
-  const std::string region = RegionOf(endpoint.zone);
-  for (const auto& arrival : endpoint.standin->all_arrivals()) {
-    const bool has_homes = arrival.target.rfind(kReadWithHomes, 0) == 0 ||
-                           arrival.target.rfind(kChargeWithHomes, 0) == 0;
-    const auto it = requests.find(arrival.request_id);
-    if (!has_homes || it == requests.end() || MayBeHome(region, arrival.at))
+// the host. Its own sends show which version it has; it does not go back, even
+// if it starts again.
+void SoakRun::CheckHomes(int host) {
+  struct Send {
+    Time at;
+    const SoakEndpoint* endpoint;
+    std::string id;
+  };
+  std::vector<Send> sends;
+  for (const SoakEndpoint& endpoint : endpoints_) {
+    for (const auto& arrival : endpoint.standin->all_arrivals()) {
+      const bool has_homes = arrival.target.rfind(kReadWithHomes, 0) == 0 ||
+                             arrival.target.rfind(kChargeWithHomes, 0) == 0;
+      if (has_homes && HostOf(arrival.request_id) == host)
+        sends.push_back({arrival.at, &endpoint, arrival.request_id});
+    }
+  }
+  std::sort(sends.begin(), sends.end(),
+            [](const Send& a, const Send& b) { return a.at < b.at; });
+  std::vector<std::pair<Time, size_t>> shown;
+  for (const Send& it : sends) {
+    size_t first = 0;
+    for (const auto& [at, version] : shown) {
+      if (at + kRevertSlack < it.at)
+        first = std::max(first, version);
+    }
+    const std::string region = RegionOf(it.endpoint->zone);
+    const size_t version = FindVersion(region, first, it.at);
+    if (version < homes_.size()) {
+      shown.push_back({it.at, version});
       continue;
-    ViolateRequest(*it->second,
-                   "reaches " + endpoint.id + " in " + region + " at " +
-                       std::to_string(Millis(arrival.at - started_)) + " ms");
+    }
+    Violate(it.id + " to host " + std::to_string(host) + " reaches " +
+            it.endpoint->id + " in " + region + " at " +
+            std::to_string(Millis(it.at - started_)) + " ms");
+    AddLogLines(it.id);
   }
 }
 
@@ -755,11 +823,10 @@
   const auto& requests = callers_->requests();
   for (const SoakEndpoint& endpoint : endpoints_) {
     CheckLeaver(endpoint);
-    CheckHomes(endpoint);
     CheckRefusals(endpoint);
     for (const auto& run : endpoint.standin->runs()) {
       ++runs[run.request_id];
-      if (run.request_id.rfind("probe", 0) == 0)
+      if (run.request_id.rfind(kProbe, 0) == 0)
         continue;
       const auto it = requests.find(run.request_id);
       if (it == requests.end() || it->second->body != run.body ||
@@ -767,6 +834,8 @@
         Violate("unasked run of " + run.request_id + " at " + endpoint.id);
     }
   }
+  for (int host = 1; host <= options_.hosts; ++host)
+    CheckHomes(host);
   for (const auto& [path, timer] : crashing_)
     CheckCrashing(path);
   for (const auto& [id, it] : requests) {
