Take a state for current only by answers that show it

Cause: contact was taken for knowledge. Any gossip, and any answer of the store to any call, counted as a sign that the state was current; what was read at a wake may have come before the freeze; and silent hosts were forgotten.

- A host records since when its state is known to be current: by the answers of the store to its followers of all kinds, which now also report that nothing has changed, or by a relay's push, which carries the same age.
That is also what confirms a state after the start; the time limit is gone.
- After a gap in its activity, a host trusts nothing for 400 ms.
- A state that is older than 2.5 s counts only in an outage of the store: if more than half of the hosts of the last confirmation are heard.
A host that was never confirmed must have seen calls fail by itself.
- The guard is asked again before the first byte.
A host that knows of a newer version, or wakes, also refuses routes without homes, if others have some.

What a majority of hosts does that is cut off from the store together cannot be told from an outage.

--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -199,7 +199,7 @@
 inline void to_json(Json& json, const CachePush& push) {
   json = {{"doubt_ms", push.doubt_ms},
           {"store_age_ms", push.store_age_ms},
-          {"is_confirmed", push.is_confirmed},
+          {"state_age_ms", push.state_age_ms},
           {"spans", push.spans},
           {"items", push.items}};
 }
@@ -207,7 +207,8 @@
 inline void from_json(const Json& json, CachePush& push) {
   json.at("doubt_ms").get_to(push.doubt_ms);
   json.at("store_age_ms").get_to(push.store_age_ms);
-  push.is_confirmed = json.value("is_confirmed", true);
+  // Relays of earlier versions do not say.
+  push.state_age_ms = json.value("state_age_ms", push.store_age_ms);
   json.at("spans").get_to(push.spans);
   json.at("items").get_to(push.items);
 }
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -368,6 +368,8 @@
   std::vector<std::string> names;
 };
 
+inline constexpr uint64_t kUnknownStateAgeMs = uint64_t{1} << 40;
+
 // Store objects sent by a relay.
 struct CachePush {
   static constexpr char kName[] = "belief_push";
@@ -376,9 +378,9 @@
   uint64_t doubt_ms = 0;
   // Time since the relay's last answer from the store.
   uint64_t store_age_ms = 0;
-  // Whether the relay's state is at least as new as its start. Relays of
-  // earlier versions do not say.
-  bool is_confirmed = true;
+  // Time since the relay's state was known to be current; kUnknownStateAgeMs if
+  // it was not since its start.
+  uint64_t state_age_ms = 0;
   std::vector<CacheSpan> spans;
   std::vector<CacheItem> items;
 };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -34,9 +34,9 @@
 constexpr Duration kMaxIdleTimeNonIdempotent = std::chrono::milliseconds(1500);
 // For endpoints whose answers state no Keep-Alive timeout.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(5);
-// Retry-After until the first configuration is loaded, which takes about this
-// long.
-constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(500);
+// Retry-After until the first configuration is loaded, or the state is known to
+// be current, which takes about this long.
+constexpr Duration kUnknownStateRetryAfter = std::chrono::milliseconds(500);
 // Retry-After of a host that cannot serve what others can; the caller can go to
 // another host at once.
 constexpr Duration kOtherHostRetryAfter = Duration(0);
@@ -125,7 +125,7 @@
 void GatewayExchange::Begin() {
   begun_ = true;
   if (!config_) {
-    Refuse("no_configuration", kNoConfigurationRetryAfter);
+    Refuse("no_configuration", kUnknownStateRetryAfter);
     return;
   }
   if (request_.id.empty()) {
@@ -213,27 +213,38 @@
   return true;
 }
 
-// Refuses a request with home regions if this host cannot know that they, or
-// the regions of the endpoints, have not changed. Returns whether it was
-// refused.
-bool GatewayExchange::RefuseIfHomesAreUnknown() {
-  if (!homes_.is_bound)
-    return false;
+// Whether this host can know the regions where the request may be sent.
+// Requests without homes may only have got some in a configuration that is
+// about to arrive.
+bool GatewayExchange::AreHomesKnown() const {
+  if (!followed_config_->has_home_regions)
+    return true;
   const StateKnowledge knowledge =
       KnowledgeOfState(state_.contact, state_.members, state_.loop.Now());
-  if (knowledge == StateKnowledge::kCurrent)
+  if (homes_.is_bound)
+    return knowledge == StateKnowledge::kCurrent;
+  return knowledge != StateKnowledge::kOutdated &&
+         knowledge != StateKnowledge::kWaking;
+}
+
+// Returns whether it refused the request.
+bool GatewayExchange::RefuseIfHomesAreUnknown() {
+  if (AreHomesKnown())
     return false;
+  const Time now = state_.loop.Now();
   LogLine(LogLevel::kInfo, "request",
           "Refused a request whose home regions may have changed.")
       .With("id", request_.id)
-      .With("state", NameOf(knowledge))
+      .With("state",
+            NameOf(KnowledgeOfState(state_.contact, state_.members, now)))
       .With("config", followed_config_->version)
       .With("newest_known_config", NewestKnownVersion(state_.members))
-      .With("host_heard_ms_ago",
-            Millis(state_.loop.Now() - state_.contact.host_heard))
-      .With("store_answered_ms_ago",
-            Millis(state_.loop.Now() - state_.contact.store_answered));
-  Refuse("homes_unknown", kOtherHostRetryAfter);
+      .With("state_age_ms", IsConfirmed(state_.contact)
+                                ? Millis(now - state_.contact.confirmed_at)
+                                : -1);
+  const bool has_others = CountAlive(state_.members, now) > 1;
+  Refuse("homes_unknown",
+         has_others ? kOtherHostRetryAfter : kUnknownStateRetryAfter);
   return true;
 }
 
@@ -424,7 +435,8 @@
   const EndpointPtr& endpoint = try_->endpoint;
   const Eligibility eligibility =
       EligibilityOf(state_.endpoints, *endpoint, state_.loop.Now());
-  const bool is_home = IsHome(homes_, endpoint->record.region);
+  const bool is_home =
+      AreHomesKnown() && IsHome(homes_, endpoint->record.region);
   const bool is_of_service = endpoint->record.service == service_;
   if (eligibility == Eligibility::kEligible && is_home && is_of_service)
     return false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -116,6 +116,7 @@
   void StartTries();
   bool RefuseIfSuspect();
   bool RefuseIfStopping();
+  bool AreHomesKnown() const;
   bool RefuseIfHomesAreUnknown();
   void TryNext();
   void Connect(const EndpointPtr& endpoint);
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -245,8 +245,9 @@
         });
     const Time now = state_.loop.Now();
     const GossipResult news = OnGossip(state_.members, message, now);
+    OnActivity(state_.contact, now);
     if (!message.notices.empty())
-      state_.contact.host_heard = now;
+      OnHostHeard(state_.contact, now);
     ApplyCrashNotices(message);
     ApplyLeavings(message);
     for (const HostId& it : news.appeared)
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "gateway/crash_report.h"
 #include "platform/platform.h"
-#include "routing/home_regions.h"
+#include "routing/host_contact.h"
 
 namespace sassafras {
 
@@ -19,10 +19,6 @@
 constexpr Duration kLostStoreProbeInterval = std::chrono::milliseconds(1200);
 constexpr Duration kOwnHostRetryDelay = std::chrono::seconds(2);
 
-// After this time without relays and store, nobody can confirm a new host's
-// state, and it serves by what it knows.
-constexpr Duration kMaxUnconfirmedTime = std::chrono::seconds(3);
-
 constexpr char kMeshDeployment[] = "gateway";
 
 StoreObject ObjectOf(const CacheItem& item) {
@@ -50,7 +46,8 @@
       on_self_changed_(std::move(on_self_changed)),
       store_(platform::ConnectStore(state.loop, state.settings.store_address)),
       started_(state.loop.Now()) {
-  state_.contact.host_heard = started_;
+  state_.contact.started = started_;
+  state_.contact.active_at = started_;
 }
 
 Result<void> StoreCacheFeed::Start() {
@@ -122,6 +119,7 @@
   for (const auto& [kind, known] : table_.kinds) {
     store_->List({kind, {}, FreshnessOfFirstList(kind)},
                  [this, name = kind](const StoreReply& reply) {
+                   OnCallEnded(reply.status);
                    if (reply.status != StoreStatus::kOk ||
                        reply.as_of <= table_.kinds[name].as_of)
                      return;
@@ -131,8 +129,8 @@
 }
 
 // A host sends by the homes of its first configuration, which must not be older
-// than its start. The other kinds may have many pages; until they are
-// confirmed, requests with home regions are refused.
+// than its start. The other kinds may have many pages; until the feed's source
+// has confirmed them, requests with home regions are refused.
 ListFreshness StoreCacheFeed::FreshnessOfFirstList(
     const std::string& kind) const {
   return kind == platform::kConfigKind ? ListFreshness::kCurrent
@@ -141,7 +139,7 @@
 
 void StoreCacheFeed::OnStoreChange(const std::string& kind,
                                    const StoreChange& change) {
-  OnStoreAnswer();
+  OnCallEnded(StoreStatus::kOk);
   const auto new_items = ApplyStoreChange(table_, kind, change);
   ApplyItems(new_items);
   if (new_items.empty() || !IsComplete(table_))
@@ -151,41 +149,53 @@
     Push(it.to, it.push);
 }
 
-void StoreCacheFeed::OnStoreAnswer() {
-  last_store_answer_ = state_.loop.Now();
-  state_.contact.store_answered = last_store_answer_;
-  state_.contact.store_tried = last_store_answer_;
+void StoreCacheFeed::OnCallEnded(StoreStatus status) {
+  const Time now = state_.loop.Now();
+  OnActivity(state_.contact, now);
+  if (status == StoreStatus::kOk)
+    last_store_answer_ = now;
+  else
+    OnStoreFailed(state_.contact, now);
 }
 
 void StoreCacheFeed::FollowStore() {
-  followed_kinds_.clear();
+  followed_at_.clear();
+  follows_current_lists_ = !IsConfirmed(state_.contact);
   for (const auto& [kind, known] : table_.kinds) {
     store_watches_.push_back(
         store_->Follow(kind,
-                       state_.contact.is_confirmed ? ListFreshness::kMayBeStale
-                                                   : ListFreshness::kCurrent,
+                       follows_current_lists_ ? ListFreshness::kCurrent
+                                              : ListFreshness::kMayBeStale,
                        [this, name = kind](const StoreChange& change) {
                          OnStoreChange(name, change);
-                         OnFollowed(name);
+                         if (!change.complete || follows_current_lists_)
+                           OnFollowed(name);
                        }));
   }
 }
 
-// The state is confirmed once the followed lists of all kinds have arrived.
+// The state is as old as the kind that the store has answered least recently.
 void StoreCacheFeed::OnFollowed(const std::string& kind) {
-  followed_kinds_.insert(kind);
-  if (followed_kinds_.size() == table_.kinds.size())
-    Confirm("store");
+  const Time now = state_.loop.Now();
+  followed_at_[kind] = now;
+  if (followed_at_.size() < table_.kinds.size())
+    return;
+  const auto oldest = std::min_element(
+      followed_at_.begin(), followed_at_.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  Confirm("store", now - oldest->second);
 }
 
-// From now on, this host's state is at least as new as its start.
-void StoreCacheFeed::Confirm(const std::string& source) {
-  if (state_.contact.is_confirmed)
+void StoreCacheFeed::Confirm(const std::string& source, Duration age) {
+  const Time now = state_.loop.Now();
+  const bool was_confirmed = IsConfirmed(state_.contact);
+  OnConfirmed(state_.contact, state_.members, age, now);
+  if (was_confirmed || !IsConfirmed(state_.contact))
     return;
-  state_.contact.is_confirmed = true;
   LogLine(LogLevel::kInfo, "beliefs", "State is confirmed after the start.")
       .With("source", source)
-      .With("ms", Millis(state_.loop.Now() - started_));
+      .With("age_ms", Millis(age))
+      .With("ms", Millis(now - started_));
   UpdateComplete();
 }
 
@@ -206,6 +216,8 @@
 
 void StoreCacheFeed::OnPush(const HostId& from, const CachePush& push) {
   const Time now = state_.loop.Now();
+  OnActivity(state_.contact, now);
+  OnHostHeard(state_.contact, now);
   OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
                std::chrono::milliseconds(push.doubt_ms), now);
   // A host that follows the store sees by itself whether the store answers.
@@ -213,13 +225,14 @@
     ExtendRegistryUnreliable(state_.endpoints, MinUnreliableFor(choice_, now),
                              now);
   ApplyItems(ApplyPush(table_, push));
-  state_.contact.host_heard = now;
-  if (push.is_confirmed && IsUpToDate(table_, push))
-    Confirm(from.value());
+  if (push.state_age_ms < kUnknownStateAgeMs && IsUpToDate(table_, push))
+    Confirm(from.value(), std::chrono::milliseconds(push.state_age_ms));
 }
 
 void StoreCacheFeed::OnStoreReachable(bool reachable) {
   store_reachable_ = reachable;
+  if (!reachable)
+    OnCallEnded(StoreStatus::kUnavailable);
   LogLine(LogLevel::kWarning, "store",
           reachable ? "Store answers again." : "Store does not answer.")
       .With("config", state_.config ? state_.config->version : 0);
@@ -234,7 +247,11 @@
 }
 
 void StoreCacheFeed::Push(const std::vector<HostId>& to, CachePush push) {
-  push.is_confirmed = state_.contact.is_confirmed;
+  push.state_age_ms =
+      IsConfirmed(state_.contact)
+          ? static_cast<uint64_t>(std::max<int64_t>(
+                Millis(state_.loop.Now() - state_.contact.confirmed_at), 0))
+          : kUnknownStateAgeMs;
   push.store_age_ms = static_cast<uint64_t>(
       std::max<int64_t>(Millis(state_.loop.Now() - last_store_answer_), 0));
   mesh_->SendToAll(to, push);
@@ -255,16 +272,14 @@
       {platform::kEvacuationKind, kProbeTimeout, ListFreshness::kMayBeStale},
       [this](const StoreReply& reply) {
         is_probing_ = false;
-        state_.contact.store_tried = state_.loop.Now();
-        if (reply.status == StoreStatus::kOk)
-          OnStoreAnswer();
+        OnCallEnded(reply.status);
       });
 }
 
 void StoreCacheFeed::OnTick() {
   const Time now = state_.loop.Now();
-  if (now - started_ >= kMaxUnconfirmedTime)
-    Confirm("-");
+  OnActivity(state_.contact, now);
+  UpdateComplete();
   if (choice_.source == FeedSource::kStore && !store_reachable_)
     MarkRegistryUnreliable(state_.endpoints, now);
   ApplyChanges(DropMissing(state_.endpoints, now));
@@ -296,14 +311,16 @@
 }
 
 // The host is ready once it can serve all routes; those with home regions only
-// by a confirmed state.
+// if its state is current.
 void StoreCacheFeed::UpdateComplete() {
-  const bool was_complete = is_complete_;
-  is_complete_ =
-      IsComplete(table_) && state_.config &&
-      (state_.contact.is_confirmed || !HasHomeRegions(*state_.config));
-  if (is_complete_ && !was_complete)
-    on_complete_();
+  if (is_complete_ || !IsComplete(table_) || !state_.config)
+    return;
+  if (state_.config->has_home_regions &&
+      KnowledgeOfState(state_.contact, state_.members, state_.loop.Now()) !=
+          StateKnowledge::kCurrent)
+    return;
+  is_complete_ = true;
+  on_complete_();
 }
 
 void StoreCacheFeed::ApplyEndpoint(const CacheItem& item) {
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -47,10 +46,11 @@
   void ReadFirstLists();
   ListFreshness FreshnessOfFirstList(const std::string& kind) const;
   void OnStoreChange(const std::string& kind, const StoreChange& change);
-  void OnStoreAnswer();
+  void OnCallEnded(StoreStatus status);
   void FollowStore();
   void OnFollowed(const std::string& kind);
-  void Confirm(const std::string& source);
+  // The state has been current for `age`, by `source`.
+  void Confirm(const std::string& source, Duration age);
   void LogFeedChoice() const;
   void OnMessage(const HostId& from, const Message& message);
   void OnFollowMessage(const HostId& from, const CacheFollow& follow);
@@ -84,8 +84,10 @@
   Time last_store_answer_;  // From the store to this host.
   Time last_probe_;         // When ProbeStore() last sent a request.
   std::vector<std::unique_ptr<Watch>> store_watches_;
-  // Kinds whose lists have arrived since the store is followed.
-  std::set<std::string> followed_kinds_;
+  // When the store last answered the follower of each kind with the current
+  // state, since it is followed.
+  std::map<std::string, Time> followed_at_;
+  bool follows_current_lists_ = false;
   std::unique_ptr<Watch> tick_;
   std::unique_ptr<Watch> own_host_retry_;
   bool is_complete_ = false;
--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -133,14 +133,15 @@
   return homes;
 }
 
-bool HasHomeRegions(const SteeringConfig& config) {
-  for (const auto& [host, routes] : config.hosts) {
-    if (std::any_of(routes.begin(), routes.end(), [](const RequestRoute& it) {
-          return !it.home_regions.empty();
-        }))
-      return true;
+HomeRegions AllHomes(const SteeringConfig& config, std::string_view host) {
+  HomeRegions homes;
+  if (const std::vector<RequestRoute>* routes = FindRoutes(config, host)) {
+    for (const RequestRoute& it : *routes)
+      homes.regions.insert(homes.regions.end(), it.home_regions.begin(),
+                           it.home_regions.end());
   }
-  return false;
+  homes.is_bound = !homes.regions.empty();
+  return homes;
 }
 
 bool IsHome(const HomeRegions& homes, const RegionId& region) {
--- a/src/routing/home_regions.h
+++ b/src/routing/home_regions.h
@@ -32,8 +32,8 @@
 // Regions that are homes of every route of `host` that has homes.
 HomeRegions CommonHomes(const SteeringConfig& config, std::string_view host);
 
-// Whether any route has home regions.
-bool HasHomeRegions(const SteeringConfig& config);
+// Regions that are homes of any route of `host`.
+HomeRegions AllHomes(const SteeringConfig& config, std::string_view host);
 
 // Whether `region` is allowed. An unknown region, which is empty, is only
 // allowed where all are.
--- a/src/routing/host_contact.h
+++ b/src/routing/host_contact.h
@@ -1,36 +1,54 @@
-// Whether a host can know the state in effect: it must have confirmed its state
-// since its start, have heard from other hosts or the store lately, and know of
-// no newer configuration than its own.
+// Whether a host can know the state in effect, that is, the newest
+// configuration and endpoint records.
 //
 // A host that starts, is cut off, or wakes from a freeze, goes on with the
 // state that it has; that is right for most of it, but not for home regions.
+// Its state is known to be current by an answer of the store to a follower, or
+// by a relay that passes such an answer on. What the host read before it froze
+// proves nothing about the time after.
+//
+// An outage of the store, during which nothing changes, must not look like a
+// cut: a host that hears most of the hosts that it knew is not cut off.
 #ifndef ROUTING_HOST_CONTACT_H_
 #define ROUTING_HOST_CONTACT_H_
 
+#include <cstddef>
+
 #include "base/names_table.h"
 #include "base/time.h"
 #include "routing/host_members.h"
 
 namespace sassafras {
 
-// What this host has heard from others, and when last.
 struct HostContact {
-  // Its state is at least as new as its start.
-  bool is_confirmed = false;
-  Time host_heard;      // A message of another host arrived.
-  Time store_answered;  // The store answered a call.
-  Time store_tried;     // A call to the store ended in any way.
+  Time started;
+  // The state includes all changes before this time.
+  Time confirmed_at;
+  // Live, ready hosts, including this one, at the last confirmation.
+  size_t hosts_at_confirmation = 0;
+  Time host_heard;    // A message of another host arrived.
+  Time store_failed;  // A call to the store failed.
+  // When OnActivity() was last called.
+  Time active_at;
+  // After a gap in this host's activity, messages that arrived until then may
+  // be from before it.
+  Time distrust_until;
 };
 
-// A host that has heard nothing for this long may have missed a configuration.
-// Spans several gossip rounds and probes of the store.
-inline constexpr Duration kMaxSilence = std::chrono::milliseconds(2000);
+// A state that was last confirmed this long ago may be outdated. Spans the
+// longest wait of a watch.
+inline constexpr Duration kMaxStateAge = std::chrono::milliseconds(2500);
+// A host that was not active for this long was frozen or starved.
+inline constexpr Duration kMaxActivityGap = std::chrono::milliseconds(1000);
+// Time in which messages from before a gap are read, and new ones arrive.
+inline constexpr Duration kDistrustTime = std::chrono::milliseconds(400);
 
 enum class StateKnowledge {
   kCurrent,      // As far as this host can know.
   kUnconfirmed,  // It may be older than this host's start.
   kOutdated,     // Another host has a newer configuration.
-  kSilent,       // This host has heard nothing lately.
+  kWaking,       // This host was frozen just now.
+  kCutOff,       // Changes may have been missed for a longer time.
 };
 
 template <>
@@ -39,13 +57,25 @@
       {StateKnowledge::kCurrent, "current"},
       {StateKnowledge::kUnconfirmed, "unconfirmed"},
       {StateKnowledge::kOutdated, "outdated"},
-      {StateKnowledge::kSilent, "silent"},
+      {StateKnowledge::kWaking, "waking"},
+      {StateKnowledge::kCutOff, "cut_off"},
   };
 };
 
-// A host that knows of no other hosts that were ready when last heard relies on
-// the store alone: it is kCurrent while calls to the store fail, since nobody
-// else could have told it more.
+// Must be called before what arrives is taken into account, and at least once
+// in kMaxActivityGap.
+void OnActivity(HostContact& contact, Time now);
+// The state has been current for `age`.
+void OnConfirmed(HostContact& contact,
+                 const HostMembers& members,
+                 Duration age,
+                 Time now);
+void OnHostHeard(HostContact& contact, Time now);
+void OnStoreFailed(HostContact& contact, Time now);
+
+// Whether the state is at least as new as this host's start.
+bool IsConfirmed(const HostContact& contact);
+
 StateKnowledge KnowledgeOfState(const HostContact& contact,
                                 const HostMembers& members,
                                 Time now);
--- a/src/routing/steering_config.cc
+++ b/src/routing/steering_config.cc
@@ -66,6 +66,11 @@
                      [](const RequestRoute& a, const RequestRoute& b) {
                        return a.path_prefix.size() > b.path_prefix.size();
                      });
+    config.has_home_regions =
+        config.has_home_regions ||
+        std::any_of(routes.begin(), routes.end(), [](const RequestRoute& it) {
+          return !it.home_regions.empty();
+        });
   }
 }
 
--- a/src/routing/steering_config.h
+++ b/src/routing/steering_config.h
@@ -78,6 +78,7 @@
   RequestLimits limits;
   // Routes by host name, longest prefix first; see SortRoutes().
   std::unordered_map<std::string, std::vector<RequestRoute>> hosts;
+  bool has_home_regions = false;  // Any route has some; see SortRoutes().
   std::unordered_map<ServiceId, ServiceConfig> services;
   // For each service with long work: requests with this priority value or a
   // greater one are long compared to the more urgent ones; see
@@ -85,7 +86,8 @@
   std::unordered_map<ServiceId, int> long_work_priorities;
 };
 
-// Sorts each host name's routes as FindRoute() requires.
+// Sorts each host name's routes as FindRoute() requires. Sets
+// `has_home_regions`.
 void SortRoutes(SteeringConfig& config);
 
 // Fills `long_work_priorities`. The routes of a service are divided at a
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -28,7 +28,8 @@
   virtual void PutIf(const StorePut& put, Done done) = 0;
 
   // Lists the objects of a kind and then reports its changes until the returned
-  // Watch is destroyed. `freshness` is that of the first list. After an
+  // Watch is destroyed. `freshness` is that of the first list. Also reports, at
+  // least every few seconds, that nothing has changed. After an
   // interruption it may report the complete list again.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
--- a/tests/gateway/home_regions_test.cc
+++ b/tests/gateway/home_regions_test.cc
@@ -425,6 +425,46 @@
   EXPECT_EQ(in_cuyo_->arrivals(), before);
 }
 
+TEST_F(HomeRoutingTest, HostsThatAreCutOffTogetherSendNothingToEarlierHomes) {
+  StartWithHomes({"cuyo"});
+  for (const int it : {2, 3, 4, 5}) {
+    world_.StartGateway(it);
+    ASSERT_TRUE(world_.WaitReady(it));
+  }
+  WaitUntilHostsAreKnown();
+  // Hosts 1 and 4 hear each other.
+  for (const int it : {2, 3, 5})
+    world_.Signal(it, SIGSTOP);
+  world_.store().set_down(true);
+  PutHomes({"pampa"});
+  Wait(seconds(4));
+  const int before = in_cuyo_->arrivals();
+  EXPECT_EQ(SendReads(seconds(1)), 0);
+  EXPECT_EQ(in_cuyo_->arrivals(), before);
+  world_.store().set_down(false);
+  for (const int it : {2, 3, 5})
+    world_.Signal(it, SIGCONT);
+  ASSERT_TRUE(WaitUntilApplied());
+  EXPECT_GT(SendReads(seconds(1)), 50);
+  EXPECT_EQ(in_cuyo_->arrivals(), before);
+}
+
+TEST_F(HomeRoutingTest, OnlyHostThatWasFrozenSendsNothingToEarlierHomes) {
+  StartWithHomes({"cuyo"});
+  Wait(kFirstFollow);
+  for (int i = 0; i < 3; ++i) {
+    PutHomes({"cuyo"});
+    ASSERT_TRUE(WaitUntilApplied());
+    world_.Signal(1, SIGSTOP);
+    PutHomes({"pampa"});
+    Wait(milliseconds(2800 + 400 * i));
+    const int before = in_cuyo_->arrivals();
+    world_.Signal(1, SIGCONT);
+    EXPECT_GT(SendReads(seconds(2)), 50);
+    EXPECT_EQ(in_cuyo_->arrivals(), before);
+  }
+}
+
 // The store alone is no reason to refuse.
 TEST_F(HomeRoutingTest, HomesAreServedWhileTheStoreIsDown) {
   StartWithHomes({"cuyo"});
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -749,10 +749,11 @@
   if (!extra_prefix.empty())
     add(extra_prefix, "idempotent");
   const Json standard = paths;
-  for (const auto& [prefix, homes] : homes_) {
+  for (const auto& it : homes_) {
+    const std::string& prefix = it.first;
     const bool is_listed = std::any_of(
         standard.begin(), standard.end(),
-        [&](const Json& it) { return it["path-prefix"] == prefix; });
+        [&](const Json& path) { return path["path-prefix"] == prefix; });
     if (!is_listed)
       add(prefix,
           prefix.rfind("/charge/", 0) == 0 ? "non_idempotent" : "idempotent");
