Resolve the spellings of a path in any order and repeatedly

A path that endpoints resolve in another order escaped its homes, found by reading: /read/%2e/../%65u/1 means /read/eu/1 where dots are resolved before escapes. Each spelling is now resolved in each way until no new one is found.

--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -73,21 +73,27 @@
   return out;
 }
 
+// Limits the spellings of one path. Few paths have more than ten.
+constexpr size_t kMaxSpellings = 64;
+
 // The paths that an endpoint may take `path` for, besides itself. Endpoints
 // differ in what they resolve, and in which order.
 std::set<std::string> OtherSpellings(std::string_view path) {
-  std::set<std::string> out;
   const bool is_plain = path.find('%') == std::string_view::npos &&
                         path.find("//") == std::string_view::npos &&
                         path.find("/.") == std::string_view::npos;
   if (is_plain)
-    return out;
-  for (const std::string& it : {std::string(path), ResolveEscapes(path)}) {
-    out.insert(it);
-    out.insert(MergeSlashes(it));
-    out.insert(ResolveDots(it));
-    out.insert(ResolveDots(MergeSlashes(it)));
-    out.insert(MergeSlashes(ResolveDots(it)));
+    return {};
+  std::set<std::string> out = {std::string(path)};
+  std::vector<std::string> unresolved(out.begin(), out.end());
+  while (!unresolved.empty() && out.size() < kMaxSpellings) {
+    const std::string next = std::move(unresolved.back());
+    unresolved.pop_back();
+    for (const std::string& it :
+         {ResolveEscapes(next), MergeSlashes(next), ResolveDots(next)}) {
+      if (out.insert(it).second)
+        unresolved.push_back(it);
+    }
   }
   return out;
 }
--- a/tests/routing/home_regions_test.cc
+++ b/tests/routing/home_regions_test.cc
@@ -52,6 +52,8 @@
       {"/./x/1", true, {kA, kB}},
       {"/../x/1", true, {kA, kB}},
       {"/open//../x/1", true, {kA, kB}},
+      {"/open/%2e/../../%78/1", true, {kA, kB}},
+      {"/open/%252e%252e/x/1", true, {kA, kB}},
       {"/open/./%2e/1", false, {}},
       // Either reading, since endpoints differ.
       {"/x/%79/1", true, {kB}},
