Limit how long look-ups name nobody for a region that restarts

Nobody is named only for 10 s after a host of the region was heard, and records alone do not count. Without a common home, hosts of any home are named before those of all regions.

--- a/src/routing/directory.cc
+++ b/src/routing/directory.cc
@@ -28,16 +28,21 @@
   return out;
 }
 
-// Whether the region has known hosts, all of which have left in order or are
-// starting, so that it will soon have ready ones again.
-bool IsAwayForAMoment(const DirectoryView& view, const RegionId& region) {
+// Time for the hosts of a region to stop in order and start again.
+constexpr Duration kMaxRestartTime = std::chrono::seconds(10);
+
+// Whether the region has hosts that were heard lately, all of which are
+// stopping in order or starting, so that it will soon have ready ones again.
+bool IsRestarting(const DirectoryView& view, const RegionId& region, Time now) {
   bool has_hosts = false;
   for (const auto& [id, member] : view.members->others) {
-    if (RegionOf(view, member.notice.zone) != region)
+    // A host that is only known by its record was never heard.
+    if (RegionOf(view, member.notice.zone) != region ||
+        member.notice.heartbeat == 0)
       continue;
     if (member.notice.phase == HostPhase::kReady)
       return false;
-    has_hosts = true;
+    has_hosts = has_hosts || now - member.heard < kMaxRestartTime;
   }
   return has_hosts;
 }
@@ -70,13 +75,18 @@
   });
   if (!found.empty() || !view.knows_hosts)
     return found;
-  const HomeRegions homes =
-      view.config ? CommonHomes(*view.config, query.host_name) : HomeRegions();
-  if (homes.is_bound) {
-    found = Select(hosts, [&](const HostNotice& it) {
-      return IsHome(homes, RegionOf(view, it.zone));
-    });
-    if (!found.empty() || IsAwayForAMoment(view, region))
+  if (view.config) {
+    const auto select_homes = [&](const HomeRegions& homes) {
+      return Select(hosts, [&](const HostNotice& it) {
+        return homes.is_bound && IsHome(homes, RegionOf(view, it.zone));
+      });
+    };
+    found = select_homes(CommonHomes(*view.config, query.host_name));
+    const HomeRegions homes = AllHomes(*view.config, query.host_name);
+    if (!found.empty() || (homes.is_bound && IsRestarting(view, region, now)))
+      return found;
+    found = select_homes(homes);
+    if (!found.empty())
       return found;
   }
   return Select(hosts, [](const HostNotice&) { return true; });
--- a/src/routing/directory.h
+++ b/src/routing/directory.h
@@ -41,13 +41,13 @@
 
 // Returns the addresses of live, ready hosts, at most kMaxAddresses: those of
 // the caller's zone if there are at least kMinZoneHosts, else those of its
-// region. If that has none, those in CommonHomes() of the host name; if it has
-// no such hosts either, all hosts.
+// region. If that has none, those in CommonHomes() of the host name, else those
+// in AllHomes() of it, else all.
 //
 // Empty if no host is ready; also, instead of hosts outside the caller's
-// region, if this host does not know the others yet, or if the region's hosts
-// have left in order or are starting, the name has homes, and no host is in
-// them.
+// region, if this host does not know the others yet, or if the name has homes,
+// no host is in the common ones, and the region's hosts are stopping in order
+// or starting.
 std::vector<Address> FindHosts(const DirectoryView& view,
                                const DirectoryQuery& query,
                                Time now);
--- a/tests/routing/directory_test.cc
+++ b/tests/routing/directory_test.cc
@@ -26,13 +26,14 @@
   // `id` begins with the region; its zone is the first one of the region.
   void Add(const std::string& id,
            HostPhase phase = HostPhase::kReady,
-           bool is_silent = false) {
+           std::chrono::seconds silent_for = std::chrono::seconds(0)) {
     HostNotice notice;
     notice.id = HostId(id);
     notice.ip = id;
     notice.zone = ZoneId(id.substr(0, 1) + "-1");
     notice.phase = phase;
-    const Time heard = is_silent ? kNow - seconds(20) : kNow;
+    notice.heartbeat = 1;
+    const Time heard = kNow - silent_for;
     members_.others[notice.id] = {notice, heard, heard, {}, {}};
   }
 
@@ -68,6 +69,9 @@
   EXPECT_EQ(Find(), "c1 ");
   SetHomes({{kA, kB}});
   EXPECT_EQ(Find(), "b1 self ");
+  // Without a common one, those of any.
+  SetHomes({{kA}, {kC}});
+  EXPECT_EQ(Find(), "c1 ");
   Add("a1");
   EXPECT_EQ(Find(), "a1 ");
 }
@@ -77,21 +81,26 @@
   SetHomes({{kA}});
   struct Case {
     HostPhase phase;
-    bool is_silent;
+    seconds silent_for;
     const char* expected;
   };
+  // Without hosts in any home, callers are better off with some.
   const std::vector<Case> cases = {
-      {HostPhase::kLeaving, false, ""},
-      {HostPhase::kLeaving, true, ""},
-      {HostPhase::kStarting, false, ""},
-      // Without hosts in any home, callers are better off with some.
-      {HostPhase::kReady, true, "c1 self "},
+      {HostPhase::kLeaving, seconds(0), ""},
+      {HostPhase::kLeaving, seconds(9), ""},
+      {HostPhase::kLeaving, seconds(11), "c1 self "},
+      {HostPhase::kStarting, seconds(0), ""},
+      {HostPhase::kReady, seconds(9), "c1 self "},
   };
   for (const Case& it : cases) {
-    Add("a1", it.phase, it.is_silent);
+    Add("a1", it.phase, it.silent_for);
     EXPECT_EQ(Find(), it.expected)
-        << NameOf(it.phase) << (it.is_silent ? ", silent" : "");
+        << NameOf(it.phase) << ", silent for " << it.silent_for.count() << " s";
   }
+  // Known by its record only.
+  Add("a1", HostPhase::kStarting);
+  members_.others[HostId("a1")].notice.heartbeat = 0;
+  EXPECT_EQ(Find(), "c1 self ");
   SetHomes({});
   Add("a1", HostPhase::kLeaving);
   EXPECT_EQ(Find(), "c1 self ");
