--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -368,6 +368,7 @@
   std::vector<std::string> names;
 };
 
+// Of CachePush::state_age_ms; longer than any process runs.
 inline constexpr uint64_t kUnknownStateAgeMs = uint64_t{1} << 40;
 
 // Store objects sent by a relay.
