--- a/src/routing/directory.cc
+++ b/src/routing/directory.cc
@@ -73,7 +73,7 @@
   found = Select(hosts, [&](const HostNotice& it) {
     return RegionOf(view, it.zone) == region;
   });
-  if (!found.empty() || !view.knows_hosts)
+  if (!found.empty() || (!view.knows_hosts && !region.empty()))
     return found;
   if (view.config) {
     const auto select_homes = [&](const HomeRegions& homes) {
--- a/src/routing/directory.h
+++ b/src/routing/directory.h
@@ -45,9 +45,9 @@
 // in AllHomes() of it, else all.
 //
 // Empty if no host is ready; also, instead of hosts outside the caller's
-// region, if this host does not know the others yet, or if the name has homes,
-// no host is in the common ones, and the region's hosts are stopping in order
-// or starting.
+// region, if that is known and this host does not know the others yet, or if
+// the name has homes, no host is in the common ones, and the region's hosts are
+// stopping in order or starting.
 std::vector<Address> FindHosts(const DirectoryView& view,
                                const DirectoryQuery& query,
                                Time now);
--- a/tests/routing/directory_test.cc
+++ b/tests/routing/directory_test.cc
@@ -45,10 +45,11 @@
   }
 
   // Ids of the hosts that callers of region a are told, in order.
-  std::string Find() {
+  std::string Find(const RegionId& region = kA,
+                   const ZoneId& zone = ZoneId("a-1")) {
     DirectoryView view{&members_, &regions_, &config_, knows_hosts_};
     std::string out;
-    for (const Address& it : FindHosts(view, {kA, ZoneId("a-1"), "h"}, kNow))
+    for (const Address& it : FindHosts(view, {region, zone, "h"}, kNow))
       out += it.ip + " ";
     return out;
   }
@@ -112,6 +113,8 @@
   EXPECT_EQ(Find(), "");
   Add("a1");
   EXPECT_EQ(Find(), "a1 ");
+  // To callers that do not say where they are, it names what it knows.
+  EXPECT_EQ(Find(RegionId(), ZoneId()), "a1 c1 self ");
 }
 
 }  // namespace
