--- a/src/routing/directory.cc
+++ b/src/routing/directory.cc
@@ -73,19 +73,22 @@
   found = Select(hosts, [&](const HostNotice& it) {
     return RegionOf(view, it.zone) == region;
   });
-  if (!found.empty() || (!view.knows_hosts && !region.empty()))
+  if (!found.empty())
     return found;
-  if (view.config) {
+  const bool has_homes =
+      !view.config || AllHomes(*view.config, query.host_name).is_bound;
+  if (has_homes && !view.knows_hosts && !region.empty())
+    return found;
+  if (has_homes && view.config) {
     const auto select_homes = [&](const HomeRegions& homes) {
       return Select(hosts, [&](const HostNotice& it) {
-        return homes.is_bound && IsHome(homes, RegionOf(view, it.zone));
+        return IsHome(homes, RegionOf(view, it.zone));
       });
     };
     found = select_homes(CommonHomes(*view.config, query.host_name));
-    const HomeRegions homes = AllHomes(*view.config, query.host_name);
-    if (!found.empty() || (homes.is_bound && IsRestarting(view, region, now)))
+    if (!found.empty() || IsRestarting(view, region, now))
       return found;
-    found = select_homes(homes);
+    found = select_homes(AllHomes(*view.config, query.host_name));
     if (!found.empty())
       return found;
   }
--- a/src/routing/directory.h
+++ b/src/routing/directory.h
@@ -27,7 +27,7 @@
   const HostMembers* members = nullptr;
   // Region of each availability zone.
   const std::map<ZoneId, RegionId>* regions = nullptr;
-  // Null: not known yet; no route then counts as having homes.
+  // Null: not known yet; the routes of a host name may then have homes.
   const SteeringConfig* config = nullptr;
   // See KnowsHosts().
   bool knows_hosts = true;
@@ -44,9 +44,9 @@
 // region. If that has none, those in CommonHomes() of the host name, else those
 // in AllHomes() of it, else all.
 //
-// Empty if no host is ready; also, instead of hosts outside the caller's
-// region, if that is known and this host does not know the others yet, or if
-// the name has homes, no host is in the common ones, and the region's hosts are
+// Empty if no host is ready. For a name with homes also empty, instead of hosts
+// outside the caller's region, if that is known and this host does not know the
+// others yet, or if no host is in the common homes and the region's hosts are
 // stopping in order or starting.
 std::vector<Address> FindHosts(const DirectoryView& view,
                                const DirectoryQuery& query,
--- a/tests/routing/directory_test.cc
+++ b/tests/routing/directory_test.cc
@@ -110,10 +110,15 @@
 TEST_F(DirectoryHomesTest, HostThatHasJustStartedNamesNoOtherRegionsHosts) {
   knows_hosts_ = false;
   Add("c1");
+  // Without homes, any host is better than none.
+  EXPECT_EQ(Find(), "c1 self ");
+  SetHomes({{kB}});
   EXPECT_EQ(Find(), "");
   Add("a1");
   EXPECT_EQ(Find(), "a1 ");
   // To callers that do not say where they are, it names what it knows.
+  EXPECT_EQ(Find(RegionId(), ZoneId()), "self ");
+  SetHomes({});
   EXPECT_EQ(Find(RegionId(), ZoneId()), "a1 c1 self ");
 }
 
