Count all look-ups under one name again; put a comment back to its function

A reader of the change found that look-ups without hosts had left the series of gateway_lookups_total for a label of their own, so that sums of the unlabelled series changed; they have a counter of their own now. The comment of MakePush() stood above IsUpToDate(), which had been put between them.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -188,9 +188,9 @@
                              state_.config.get(),
                              KnowsHosts(state_.members, loop_.Now())};
     const auto hosts = FindHosts(view, query, loop_.Now());
-    state_.metrics.Count("gateway_lookups_total",
-                         hosts.empty() ? "result=\"none\"" : "");
+    state_.metrics.Count("gateway_lookups_total", "");
     if (hosts.empty()) {
+      state_.metrics.Count("gateway_lookups_without_hosts_total", "");
       session.Respond(kHttpServiceUnavailable, {}, "");
       return;
     }
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -70,12 +70,12 @@
 // before it are missing; the sender detects this and sends them again.
 std::vector<CacheItem> ApplyPush(StoreCache& cache, const CachePush& push);
 
+// Whether the cache is as new as the sender's, after ApplyPush().
+bool IsUpToDate(const StoreCache& cache, const CachePush& push);
+
 // Returns what a host with the positions `known` lacks; may hold no items.
 // `unreliable_for`: how much longer the removal of a record does not prove that
 // its endpoint has left.
-// Whether the cache is as new as the sender of the push, which was applied.
-bool IsUpToDate(const StoreCache& cache, const CachePush& push);
-
 CachePush MakePush(const StoreCache& cache,
                    const CacheFollow& known,
                    Duration unreliable_for);
