Bind a path with too many spellings by the homes of all routes

A reader of the change found that the search for spellings stops at 64 of them, so that a path which is escaped often enough escapes the homes of the route that its last spelling means; the comment, that few paths have more than ten, was shown by no run. Such a path is now bound by the homes that all routes of the host name have in common.

PathWithTooManySpellingsIsBoundByAllRoutes failed before and holds.

--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -73,7 +73,8 @@
   return out;
 }
 
-// Limits the spellings of one path. Few paths have more than ten.
+// Limits the work for one path. One with more spellings is bound by the homes
+// of all routes of its host name.
 constexpr size_t kMaxSpellings = 64;
 
 // The paths that an endpoint may take `path` for, besides itself. Endpoints
@@ -123,7 +124,10 @@
   HomeRegions homes;
   if (const RequestRoute* route = FindRoute(config, host, path))
     homes = HomesOfRoute(*route);
-  for (const std::string& it : OtherSpellings(path)) {
+  const std::set<std::string> spellings = OtherSpellings(path);
+  if (spellings.size() >= kMaxSpellings)
+    Restrict(homes, CommonHomes(config, host));
+  for (const std::string& it : spellings) {
     if (const RequestRoute* route = FindRoute(config, host, it))
       Restrict(homes, HomesOfRoute(*route));
   }
--- a/tests/routing/home_regions_test.cc
+++ b/tests/routing/home_regions_test.cc
@@ -73,6 +73,18 @@
   }
 }
 
+TEST(HomeRegionsTest, PathWithTooManySpellingsIsBoundByAllRoutes) {
+  const SteeringConfig config = MakeConfig(
+      {MakeRoute("/", {}), MakeRoute("/x/", {kA, kB}), MakeRoute("/y/", {kB})});
+  std::string path = "/%";
+  for (int i = 0; i < 80; ++i)
+    path += "25";
+  path += "78/1";
+  const HomeRegions homes = HomesOfRequest(config, "h", path);
+  EXPECT_TRUE(homes.is_bound);
+  EXPECT_EQ(homes.regions, std::vector<RegionId>{kB});
+}
+
 TEST(HomeRegionsTest, RoutesWithoutACommonHomeAllowNoRegion) {
   const SteeringConfig config =
       MakeConfig({MakeRoute("/x/", {kA}), MakeRoute("/x/y/", {kB})});
