Put the part of an exchange that sends a request into a file of its own

Placing, connecting and sending move unchanged to exchange_send.cc; kMaxReplayBytes, which both need, is in the header. The test that lists the calls that reach an endpoint names the new file, with the same calls and counts. Unit tests of exchange, eligibility and homes pass.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,6 +19,10 @@
 
 class GatewayExchange;
 
+// A request body of up to this size is buffered until the answer, so that it
+// can be sent to another endpoint; a larger one is streamed and sent once.
+inline constexpr size_t kMaxReplayBytes = 256 << 10;
+
 // The caller's connection as seen by its exchanges. It sends their answers in
 // the order of their requests.
 class ExchangeSink {
--- a/tests/gateway/eligibility_paths_test.cc
+++ b/tests/gateway/eligibility_paths_test.cc
@@ -43,21 +43,21 @@
   using Uses = std::map<std::string, size_t>;
   const std::vector<std::pair<const char*, Uses>> cases = {
       // Chooses; asks in IsAvailable().
-      {"PlaceRequest(", {{"exchange.cc", 1}, {"placement.cc", 1}}},
+      {"PlaceRequest(", {{"exchange_send.cc", 1}, {"placement.cc", 1}}},
       {"IsEligible(", {{"placement.cc", 1}}},
       // Reaches the endpoint that was chosen.
-      {"Connect(placement.endpoint)", {{"exchange.cc", 1}}},
-      {"Stream::Connect(", {{"exchange.cc", 1}, {"stream.cc", 1}}},
-      {"pool.Take(", {{"exchange.cc", 1}}},
+      {"Connect(placement.endpoint)", {{"exchange_send.cc", 1}}},
+      {"Stream::Connect(", {{"exchange_send.cc", 1}, {"stream.cc", 1}}},
+      {"pool.Take(", {{"exchange_send.cc", 1}}},
       {"IsHome(",
-       {{"exchange.cc", 1},
+       {{"exchange_send.cc", 1},
         {"directory.cc", 1},
         {"home_regions.cc", 2},
         {"placement.cc", 2}}},
       // Sends; both ways to a connection pass WithholdIfNotAllowed().
       {"if (!WithholdIfNotAllowed())\n    SendRequest();",
-       {{"exchange.cc", 1}}},
-      {"SendRequest()", {{"exchange.cc", 2}}},
+       {{"exchange_send.cc", 1}}},
+      {"SendRequest()", {{"exchange_send.cc", 2}}},
       // Keeps a connection; asks CountsAsCapacity() before.
       {"pool.Put(", {{"exchange.cc", 1}}},
   };
