--- a/tests/gateway/home_regions_test.cc
+++ b/tests/gateway/home_regions_test.cc
@@ -108,6 +108,26 @@
     return served;
   }
 
+  // Moves the homes from cuyo to pampa while host 1 hears neither `others` nor
+  // the store, and expects that it refuses requests until it knows them.
+  void ExpectNothingInCuyoWhileCutOffFrom(const std::vector<int>& others) {
+    WaitUntilHostsAreKnown();
+    for (const int it : others)
+      world_.Signal(it, SIGSTOP);
+    world_.store().set_down(true);
+    PutHomes({"pampa"});
+    Wait(seconds(4));
+    const int before = in_cuyo_->arrivals();
+    EXPECT_EQ(SendReads(seconds(1)), 0);
+    EXPECT_EQ(in_cuyo_->arrivals(), before);
+    world_.store().set_down(false);
+    for (const int it : others)
+      world_.Signal(it, SIGCONT);
+    ASSERT_TRUE(WaitUntilApplied());
+    EXPECT_GT(SendReads(seconds(1)), 50);
+    EXPECT_EQ(in_cuyo_->arrivals(), before);
+  }
+
   int version_ = 0;
   int requests_ = 0;
   PlatformStandinEndpoint* in_cuyo_ = nullptr;
@@ -410,19 +430,7 @@
   StartWithHomes({"cuyo"});
   world_.StartGateway(2);
   ASSERT_TRUE(world_.WaitReady(2));
-  WaitUntilHostsAreKnown();
-  world_.Signal(2, SIGSTOP);
-  world_.store().set_down(true);
-  PutHomes({"pampa"});
-  Wait(seconds(4));
-  const int before = in_cuyo_->arrivals();
-  EXPECT_EQ(SendReads(seconds(1)), 0);
-  EXPECT_EQ(in_cuyo_->arrivals(), before);
-  world_.store().set_down(false);
-  world_.Signal(2, SIGCONT);
-  ASSERT_TRUE(WaitUntilApplied());
-  EXPECT_GT(SendReads(seconds(1)), 50);
-  EXPECT_EQ(in_cuyo_->arrivals(), before);
+  ExpectNothingInCuyoWhileCutOffFrom({2});
 }
 
 TEST_F(HomeRoutingTest, HostsThatAreCutOffTogetherSendNothingToEarlierHomes) {
@@ -431,22 +439,8 @@
     world_.StartGateway(it);
     ASSERT_TRUE(world_.WaitReady(it));
   }
-  WaitUntilHostsAreKnown();
   // Hosts 1 and 4 hear each other.
-  for (const int it : {2, 3, 5})
-    world_.Signal(it, SIGSTOP);
-  world_.store().set_down(true);
-  PutHomes({"pampa"});
-  Wait(seconds(4));
-  const int before = in_cuyo_->arrivals();
-  EXPECT_EQ(SendReads(seconds(1)), 0);
-  EXPECT_EQ(in_cuyo_->arrivals(), before);
-  world_.store().set_down(false);
-  for (const int it : {2, 3, 5})
-    world_.Signal(it, SIGCONT);
-  ASSERT_TRUE(WaitUntilApplied());
-  EXPECT_GT(SendReads(seconds(1)), 50);
-  EXPECT_EQ(in_cuyo_->arrivals(), before);
+  ExpectNothingInCuyoWhileCutOffFrom({2, 3, 5});
 }
 
 TEST_F(HomeRoutingTest, OnlyHostThatWasFrozenSendsNothingToEarlierHomes) {
