--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -200,12 +200,11 @@
 bool GatewayExchange::AreHomesKnown() const {
   if (!followed_config_->has_home_regions)
     return true;
-  const StateKnowledge knowledge =
-      KnowledgeOfState(state_.contact, state_.members, state_.loop.Now());
+  const Freshness freshness =
+      FreshnessOf(state_.freshness, state_.members, state_.loop.Now());
   if (homes_.is_bound)
-    return knowledge == StateKnowledge::kCurrent;
-  return knowledge != StateKnowledge::kOutdated &&
-         knowledge != StateKnowledge::kWaking;
+    return freshness == Freshness::kCurrent;
+  return freshness != Freshness::kOutdated && freshness != Freshness::kResumed;
 }
 
 // Returns whether it refused the request.
@@ -216,12 +215,11 @@
   LogLine(LogLevel::kInfo, "request",
           "Refused a request whose home regions may have changed.")
       .With("id", request_.id)
-      .With("state",
-            NameOf(KnowledgeOfState(state_.contact, state_.members, now)))
+      .With("state", NameOf(FreshnessOf(state_.freshness, state_.members, now)))
       .With("config", followed_config_->version)
       .With("newest_known_config", NewestKnownVersion(state_.members))
-      .With("state_age_ms", IsConfirmed(state_.contact)
-                                ? Millis(now - state_.contact.confirmed_at)
+      .With("state_age_ms", IsConfirmed(state_.freshness)
+                                ? Millis(now - state_.freshness.confirmed_at)
                                 : -1);
   const bool has_others = CountAlive(state_.members, now) > 1;
   Refuse("homes_unknown",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -18,9 +18,9 @@
 #include "routing/body_sizes.h"
 #include "routing/crash_history.h"
 #include "routing/endpoint_set.h"
-#include "routing/host_contact.h"
 #include "routing/host_members.h"
 #include "routing/placement.h"
+#include "routing/state_freshness.h"
 #include "routing/steering_config.h"
 #include "routing/unanswered_sends.h"
 #include "routing/urgent_reserve.h"
@@ -40,7 +40,7 @@
   std::shared_ptr<const SteeringConfig> config;
   EndpointSet endpoints;
   HostMembers members;
-  HostContact contact;
+  StateFreshness freshness;
   PlacementContext placement;
   AdmissionState admission;
   BodySizes body_sizes;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -245,9 +245,9 @@
         });
     const Time now = state_.loop.Now();
     const GossipResult news = OnGossip(state_.members, message, now);
-    OnActivity(state_.contact, now);
+    OnActivity(state_.freshness, now);
     if (!message.notices.empty())
-      OnHostHeard(state_.contact, now);
+      OnHostHeard(state_.freshness, now);
     ApplyCrashNotices(message);
     ApplyLeavings(message);
     for (const HostId& it : news.appeared)
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "gateway/crash_report.h"
 #include "platform/platform.h"
-#include "routing/host_contact.h"
+#include "routing/state_freshness.h"
 
 namespace sassafras {
 
@@ -46,8 +46,8 @@
       on_self_changed_(std::move(on_self_changed)),
       store_(platform::ConnectStore(state.loop, state.settings.store_address)),
       started_(state.loop.Now()) {
-  state_.contact.started = started_;
-  state_.contact.active_at = started_;
+  state_.freshness.started = started_;
+  state_.freshness.active_at = started_;
 }
 
 Result<void> StoreCacheFeed::Start() {
@@ -151,16 +151,16 @@
 
 void StoreCacheFeed::OnCallEnded(StoreStatus status) {
   const Time now = state_.loop.Now();
-  OnActivity(state_.contact, now);
+  OnActivity(state_.freshness, now);
   if (status == StoreStatus::kOk)
     last_store_answer_ = now;
   else
-    OnStoreFailed(state_.contact, now);
+    OnStoreFailed(state_.freshness, now);
 }
 
 void StoreCacheFeed::FollowStore() {
   followed_at_.clear();
-  follows_current_lists_ = !IsConfirmed(state_.contact);
+  follows_current_lists_ = !IsConfirmed(state_.freshness);
   for (const auto& [kind, known] : table_.kinds) {
     store_watches_.push_back(
         store_->Follow(kind,
@@ -188,9 +188,9 @@
 
 void StoreCacheFeed::Confirm(const std::string& source, Duration age) {
   const Time now = state_.loop.Now();
-  const bool was_confirmed = IsConfirmed(state_.contact);
-  OnConfirmed(state_.contact, state_.members, age, now);
-  if (was_confirmed || !IsConfirmed(state_.contact))
+  const bool was_confirmed = IsConfirmed(state_.freshness);
+  OnConfirmed(state_.freshness, state_.members, age, now);
+  if (was_confirmed || !IsConfirmed(state_.freshness))
     return;
   LogLine(LogLevel::kInfo, "beliefs", "State is confirmed after the start.")
       .With("source", source)
@@ -216,8 +216,8 @@
 
 void StoreCacheFeed::OnPush(const HostId& from, const CachePush& push) {
   const Time now = state_.loop.Now();
-  OnActivity(state_.contact, now);
-  OnHostHeard(state_.contact, now);
+  OnActivity(state_.freshness, now);
+  OnHostHeard(state_.freshness, now);
   OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
                std::chrono::milliseconds(push.doubt_ms), now);
   // A host that follows the store sees by itself whether the store answers.
@@ -248,9 +248,9 @@
 
 void StoreCacheFeed::Push(const std::vector<HostId>& to, CachePush push) {
   push.state_age_ms =
-      IsConfirmed(state_.contact)
+      IsConfirmed(state_.freshness)
           ? static_cast<uint64_t>(std::max<int64_t>(
-                Millis(state_.loop.Now() - state_.contact.confirmed_at), 0))
+                Millis(state_.loop.Now() - state_.freshness.confirmed_at), 0))
           : kUnknownStateAgeMs;
   push.store_age_ms = static_cast<uint64_t>(
       std::max<int64_t>(Millis(state_.loop.Now() - last_store_answer_), 0));
@@ -278,7 +278,7 @@
 
 void StoreCacheFeed::OnTick() {
   const Time now = state_.loop.Now();
-  OnActivity(state_.contact, now);
+  OnActivity(state_.freshness, now);
   UpdateComplete();
   if (choice_.source == FeedSource::kStore && !store_reachable_)
     MarkRegistryUnreliable(state_.endpoints, now);
@@ -316,8 +316,8 @@
   if (is_complete_ || !IsComplete(table_) || !state_.config)
     return;
   if (state_.config->has_home_regions &&
-      KnowledgeOfState(state_.contact, state_.members, state_.loop.Now()) !=
-          StateKnowledge::kCurrent)
+      FreshnessOf(state_.freshness, state_.members, state_.loop.Now()) !=
+          Freshness::kCurrent)
     return;
   is_complete_ = true;
   on_complete_();
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -49,7 +49,7 @@
   void OnCallEnded(StoreStatus status);
   void FollowStore();
   void OnFollowed(const std::string& kind);
-  // The state has been current for `age`, by `source`.
+  // The state was current `age` ago, by an answer of `source`.
   void Confirm(const std::string& source, Duration age);
   void LogFeedChoice() const;
   void OnMessage(const HostId& from, const Message& message);
--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -19,7 +19,7 @@
   return -1;
 }
 
-std::string ResolveEscapes(std::string_view path) {
+std::string DecodeEscapes(std::string_view path) {
   std::string out;
   for (size_t i = 0; i < path.size(); ++i) {
     const bool is_escape = path[i] == '%' && i + 2 < path.size() &&
@@ -46,7 +46,7 @@
 }
 
 // Resolves the segments "." and "..".
-std::string ResolveDots(std::string_view path) {
+std::string RemoveDotSegments(std::string_view path) {
   std::vector<std::string_view> segments;
   size_t begin = 0;
   while (begin <= path.size()) {
@@ -73,27 +73,27 @@
   return out;
 }
 
-// Limits the work for one path. One with more spellings is bound by the homes
-// of all routes of its host name.
-constexpr size_t kMaxSpellings = 64;
+// Limits the work for one path. One with more equivalent paths is bound by the
+// homes of all routes of its host name.
+constexpr size_t kMaxEquivalentPaths = 64;
 
-// The paths that an endpoint may take `path` for, besides itself. Endpoints
-// differ in what they resolve, and in which order.
-std::set<std::string> OtherSpellings(std::string_view path) {
+// Returns the paths that an endpoint may normalize `path` to; empty if there is
+// nothing to normalize.
+std::set<std::string> EquivalentPaths(std::string_view path) {
   const bool is_plain = path.find('%') == std::string_view::npos &&
                         path.find("//") == std::string_view::npos &&
                         path.find("/.") == std::string_view::npos;
   if (is_plain)
     return {};
   std::set<std::string> out = {std::string(path)};
-  std::vector<std::string> unresolved(out.begin(), out.end());
-  while (!unresolved.empty() && out.size() < kMaxSpellings) {
-    const std::string next = std::move(unresolved.back());
-    unresolved.pop_back();
+  std::vector<std::string> pending(out.begin(), out.end());
+  while (!pending.empty() && out.size() < kMaxEquivalentPaths) {
+    const std::string next = std::move(pending.back());
+    pending.pop_back();
     for (const std::string& it :
-         {ResolveEscapes(next), MergeSlashes(next), ResolveDots(next)}) {
+         {DecodeEscapes(next), MergeSlashes(next), RemoveDotSegments(next)}) {
       if (out.insert(it).second)
-        unresolved.push_back(it);
+        pending.push_back(it);
     }
   }
   return out;
@@ -124,10 +124,10 @@
   HomeRegions homes;
   if (const RequestRoute* route = FindRoute(config, host, path))
     homes = HomesOfRoute(*route);
-  const std::set<std::string> spellings = OtherSpellings(path);
-  if (spellings.size() >= kMaxSpellings)
+  const std::set<std::string> equivalent = EquivalentPaths(path);
+  if (equivalent.size() >= kMaxEquivalentPaths)
     Restrict(homes, CommonHomes(config, host));
-  for (const std::string& it : spellings) {
+  for (const std::string& it : equivalent) {
     if (const RequestRoute* route = FindRoute(config, host, it))
       Restrict(homes, HomesOfRoute(*route));
   }
--- a/src/routing/home_regions.h
+++ b/src/routing/home_regions.h
@@ -1,8 +1,8 @@
 // Home regions: the regions whose endpoints may get the requests of a route.
 //
-// A path may be spelled so that an endpoint, which resolves escapes, dot
-// segments and repeated slashes, takes it for a path of another route. Such a
-// request is bound by the homes of each route that it may mean.
+// Endpoints normalize paths: they decode escapes, remove dot segments and merge
+// slashes, some of this or all, in different orders. A path that is equivalent
+// to one of another route is also bound by the homes of that route.
 #ifndef ROUTING_HOME_REGIONS_H_
 #define ROUTING_HOME_REGIONS_H_
 
@@ -19,12 +19,13 @@
   std::vector<RegionId> regions;
 };
 
-// Restricts `homes` to those that the other one allows too.
+// Removes from `homes` what `other` does not allow.
 void Restrict(HomeRegions& homes, const HomeRegions& other);
 
 HomeRegions HomesOfRoute(const RequestRoute& route);
 
-// Homes of a request, by all routes that its path (without query) may mean.
+// Homes of a request: those that the routes of its path (without query) and of
+// all equivalent paths have in common.
 HomeRegions HomesOfRequest(const SteeringConfig& config,
                            std::string_view host,
                            std::string_view path);
--- a/tests/gateway/exchange_test.cc
+++ b/tests/gateway/exchange_test.cc
@@ -121,7 +121,7 @@
       {"its region becomes the home", nothing, true, MakeConfig({kRegion})},
       {"its region becomes the home, and the host was frozen",
        [this](EndpointSet&, Time now) {
-         state_.contact.active_at = now - std::chrono::seconds(2);
+         state_.freshness.active_at = now - std::chrono::seconds(2);
        },
        false, MakeConfig({kRegion})},
       {"another region becomes the home", nothing, false,
@@ -152,8 +152,8 @@
   for (const Case& it : cases) {
     SCOPED_TRACE(it.name);
     state_.config = MakeConfig();
-    state_.contact.active_at = loop_.Now();
-    state_.contact.confirmed_at = loop_.Now();
+    state_.freshness.active_at = loop_.Now();
+    state_.freshness.confirmed_at = loop_.Now();
     state_.endpoints = {};
     ApplyRecord(state_.endpoints, MakeRecord(kAddress), loop_.Now());
     // Otherwise the request would be held back as one that crashes endpoints.
--- a/tests/routing/host_contact_test.cc
+++ b/tests/routing/state_freshness_test.cc
@@ -1,4 +1,4 @@
-#include "routing/host_contact.h"
+#include "routing/state_freshness.h"
 
 #include <gtest/gtest.h>
 
@@ -11,13 +11,13 @@
 const Time kStart = Time() + std::chrono::hours(1);
 
 // One host among others. Time passes in steps in which it is active.
-class HostContactTest : public testing::Test {
+class StateFreshnessTest : public testing::Test {
  protected:
-  HostContactTest() {
+  StateFreshnessTest() {
     members_.self.config_version = 7;
     members_.self.phase = HostPhase::kReady;
-    contact_.started = kStart;
-    contact_.active_at = kStart;
+    freshness_.started = kStart;
+    freshness_.active_at = kStart;
     for (int i = 0; i < kOthers; ++i)
       Hear(i);
   }
@@ -28,7 +28,7 @@
     notice.phase = HostPhase::kReady;
     notice.config_version = 7;
     members_.others[notice.id] = {notice, now_, now_, {}, {}};
-    OnHostHeard(contact_, now_);
+    OnHostHeard(freshness_, now_);
   }
 
   // Lets `time` pass while the host is active, hears the first `others` hosts
@@ -37,30 +37,30 @@
     constexpr milliseconds kStep{250};
     for (const Time end = now_ + time; now_ < end;) {
       now_ += kStep;
-      OnActivity(contact_, now_);
+      OnActivity(freshness_, now_);
       for (int i = 0; i < others; ++i)
         Hear(i);
       if (store_fails)
-        OnStoreFailed(contact_, now_);
+        OnStoreFailed(freshness_, now_);
     }
   }
 
   void Confirm(Duration age = Duration(0)) {
-    OnActivity(contact_, now_);
-    OnConfirmed(contact_, members_, age, now_);
+    OnActivity(freshness_, now_);
+    OnConfirmed(freshness_, members_, age, now_);
   }
 
   std::string_view Knowledge() const {
-    return NameOf(KnowledgeOfState(contact_, members_, now_));
+    return NameOf(FreshnessOf(freshness_, members_, now_));
   }
 
   static constexpr int kOthers = 5;
-  HostContact contact_;
+  StateFreshness freshness_;
   HostMembers members_;
   Time now_ = kStart;
 };
 
-TEST_F(HostContactTest, StateIsUnconfirmedUntilItIsAsNewAsTheStart) {
+TEST_F(StateFreshnessTest, StateIsUnconfirmedUntilItIsAsNewAsTheStart) {
   Pass(seconds(4), kOthers, false);
   EXPECT_EQ(Knowledge(), "unconfirmed");
   // Of a relay that lost the store before this host's start.
@@ -70,12 +70,12 @@
   EXPECT_EQ(Knowledge(), "current");
 }
 
-TEST_F(HostContactTest, StartingHostServesInAnOutageThatItHasSeenItself) {
+TEST_F(StateFreshnessTest, StartingHostServesInAnOutageThatItHasSeenItself) {
   Pass(milliseconds(500), kOthers, true);
   EXPECT_EQ(Knowledge(), "current");
 }
 
-TEST_F(HostContactTest, OutageOfTheStoreIsNoCut) {
+TEST_F(StateFreshnessTest, OutageOfTheStoreIsNoCut) {
   struct Case {
     int heard;
     bool store_fails;
@@ -83,16 +83,16 @@
   };
   const std::vector<Case> cases = {
       {kOthers, true, "current"}, {kOthers, false, "current"},
-      {3, false, "current"},      {2, false, "cut_off"},
-      {2, true, "cut_off"},       {0, true, "cut_off"},
-      {0, false, "cut_off"},
+      {3, false, "current"},      {2, false, "partitioned"},
+      {2, true, "partitioned"},   {0, true, "partitioned"},
+      {0, false, "partitioned"},
   };
   Confirm();
-  const HostContact contact = contact_;
+  const StateFreshness freshness = freshness_;
   const HostMembers members = members_;
   const Time now = now_;
   for (const Case& it : cases) {
-    contact_ = contact;
+    freshness_ = freshness;
     members_ = members;
     now_ = now;
     Pass(seconds(5), it.heard, it.store_fails);
@@ -104,32 +104,32 @@
   }
 }
 
-TEST_F(HostContactTest, HostAloneReliesOnTheStore) {
+TEST_F(StateFreshnessTest, HostAloneReliesOnTheStore) {
   members_.others.clear();
   Confirm();
   Pass(seconds(5), 0, true);
   EXPECT_EQ(Knowledge(), "current");
   Pass(seconds(5), 0, false);
-  EXPECT_EQ(Knowledge(), "cut_off");
+  EXPECT_EQ(Knowledge(), "partitioned");
 }
 
-TEST_F(HostContactTest, WhatArrivedBeforeAFreezeProvesNothing) {
+TEST_F(StateFreshnessTest, WhatArrivedBeforeAFreezeProvesNothing) {
   Confirm();
   now_ += seconds(4);
-  EXPECT_EQ(Knowledge(), "waking");
+  EXPECT_EQ(Knowledge(), "resumed");
   // Read at the wake, from before the freeze.
   Confirm();
   Hear(1);
-  OnStoreFailed(contact_, now_);
-  EXPECT_EQ(Knowledge(), "waking");
-  now_ += kDistrustTime + milliseconds(1);
-  OnActivity(contact_, now_);
-  EXPECT_EQ(Knowledge(), "cut_off");
+  OnStoreFailed(freshness_, now_);
+  EXPECT_EQ(Knowledge(), "resumed");
+  now_ += kResumeTime + milliseconds(1);
+  OnActivity(freshness_, now_);
+  EXPECT_EQ(Knowledge(), "partitioned");
   Confirm();
   EXPECT_EQ(Knowledge(), "current");
 }
 
-TEST_F(HostContactTest, NewerVersionOfAnotherHostMakesTheStateOutdated) {
+TEST_F(StateFreshnessTest, NewerVersionOfAnotherHostMakesTheStateOutdated) {
   Confirm();
   members_.others[HostId("2")].notice.config_version = 6;
   EXPECT_EQ(Knowledge(), "current");
