--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -196,7 +196,6 @@
       .With("source", source)
       .With("age_ms", Millis(age))
       .With("ms", Millis(now - started_));
-  UpdateComplete();
 }
 
 void StoreCacheFeed::OnMessage(const HostId& from, const Message& message) {
@@ -279,7 +278,6 @@
 void StoreCacheFeed::OnTick() {
   const Time now = state_.loop.Now();
   OnActivity(state_.freshness, now);
-  UpdateComplete();
   if (choice_.source == FeedSource::kStore && !store_reachable_)
     MarkRegistryUnreliable(state_.endpoints, now);
   ApplyChanges(DropMissing(state_.endpoints, now));
@@ -310,15 +308,11 @@
   UpdateComplete();
 }
 
-// The host is ready once it can serve all routes; those with home regions only
-// if its state is current.
+// The host is ready as soon as it can serve routes without home regions: after
+// a loss of power, no host may be able to do more.
 void StoreCacheFeed::UpdateComplete() {
   if (is_complete_ || !IsComplete(table_) || !state_.config)
     return;
-  if (state_.config->has_home_regions &&
-      FreshnessOf(state_.freshness, state_.members, state_.loop.Now()) !=
-          Freshness::kCurrent)
-    return;
   is_complete_ = true;
   on_complete_();
 }
