Tell where a host's state comes from and up to which revision

Neither logs nor metrics could tell a position that the content of the cache does not have from a source that is late. The state dump has the source, the relays, the positions and the age of the state; the metrics have the positions; lists from the store and versions are logged with position, newest revision, source and age. No decision changes.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -175,6 +175,10 @@
     add("gateway_kept_connections", state_.pool.size());
     add("gateway_hosts_alive", CountAlive(state_.members, loop_.Now()));
     add("gateway_config_version", state_.members.self.config_version);
+    for (const CachePosition& it : state_.source.positions) {
+      text += "gateway_store_position{kind=\"" + it.kind + "\"} " +
+              std::to_string(it.as_of) + '\n';
+    }
     add("gateway_log_lines_dropped_total", DroppedLogLines());
     return text;
   }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -7,10 +7,13 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/loop.h"
 #include "base/metrics.h"
+#include "decisions/messages.h"
 #include "gateway/endpoint_connection_pool.h"
 #include "gateway/gateway_settings.h"
 #include "routing/admission.h"
@@ -27,6 +30,13 @@
 
 namespace sassafras {
 
+// Where this host's state comes from, for its metrics and state dump.
+struct StateSource {
+  std::string feed = "none";             // A name of FeedSource.
+  std::vector<HostId> relays;            // That this host follows.
+  std::vector<CachePosition> positions;  // Of its cache, by kind of object.
+};
+
 struct GatewayState {
   GatewayState(Loop& event_loop, GatewaySettings all_settings)
       : loop(event_loop),
@@ -41,6 +51,7 @@
   EndpointSet endpoints;
   HostMembers members;
   StateFreshness freshness;
+  StateSource source;
   PlacementContext placement;
   AdmissionState admission;
   BodySizes body_sizes;
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -55,6 +55,14 @@
               {"is_alive", IsAlive(it, now)}};
 }
 
+Json DumpSource(const StateSource& it) {
+  Json positions = Json::object();
+  for (const CachePosition& position : it.positions)
+    positions[position.kind] = position.as_of;
+  return Json{
+      {"feed", it.feed}, {"relays", it.relays}, {"positions", positions}};
+}
+
 }  // namespace
 
 std::string DumpGateway(const GatewayState& state) {
@@ -63,6 +71,10 @@
   json["host"] = state.settings.host;
   json["phase"] = NameOf(state.members.self.phase);
   json["config"] = state.config ? state.config->version : 0;
+  json["source"] = DumpSource(state.source);
+  json["state_age_ms"] = IsConfirmed(state.freshness)
+                             ? Millis(now - state.freshness.confirmed_at)
+                             : -1;
   json["open_exchanges"] = state.open_exchanges;
   json["kept_connections"] = state.pool.size();
   json["endpoints"] = Json::array();
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -86,7 +86,7 @@
                         HasFollowers(followers_, now), started_};
   const FeedSource before = choice_.source;
   if (UpdateFeedChoice(choice_, input, now)) {
-    LogFeedChoice();
+    RecordFeedChoice();
     if (choice_.source != before) {
       store_watches_.clear();
       if (choice_.source == FeedSource::kStore)
@@ -103,10 +103,14 @@
     ProbeStore();
 }
 
-void StoreCacheFeed::LogFeedChoice() const {
+void StoreCacheFeed::RecordFeedChoice() {
   std::string relays;
-  for (const auto& [relay, heard] : choice_.relays)
+  state_.source.feed = NameOf(choice_.source);
+  state_.source.relays.clear();
+  for (const auto& [relay, heard] : choice_.relays) {
+    state_.source.relays.push_back(relay);
     relays += (relays.empty() ? "" : ",") + relay.value();
+  }
   LogLine(LogLevel::kInfo, "beliefs", "Store feed source or relays changed.")
       .With("source", NameOf(choice_.source))
       .With("relays", relays.empty() ? "-" : relays)
@@ -140,8 +144,11 @@
 void StoreCacheFeed::OnStoreChange(const std::string& kind,
                                    const StoreChange& change) {
   OnCallEnded(StoreStatus::kOk);
+  const uint64_t before = table_.kinds[kind].as_of;
   const auto new_items = ApplyStoreChange(table_, kind, change);
-  ApplyItems(new_items);
+  if (change.complete)
+    LogList(kind, change, before, new_items.size());
+  ApplyItems(new_items, "store");
   if (new_items.empty() || !IsComplete(table_))
     return;
   for (const AddressedPush& it :
@@ -149,6 +156,24 @@
     Push(it.to, it.push);
 }
 
+// A list whose position is later than that of its newest object may lack the
+// changes in between, if it came from a lagging replica.
+void StoreCacheFeed::LogList(const std::string& kind,
+                             const StoreChange& list,
+                             uint64_t before,
+                             size_t changed) const {
+  uint64_t newest = 0;
+  for (const StoreObject& it : list.objects)
+    newest = std::max(newest, it.revision);
+  LogLine(LogLevel::kInfo, "beliefs", "Read a list from the store.")
+      .With("kind", kind)
+      .With("as_of", list.as_of)
+      .With("newest_revision", newest)
+      .With("before", before)
+      .With("objects", list.objects.size())
+      .With("changed", changed);
+}
+
 void StoreCacheFeed::OnCallEnded(StoreStatus status) {
   const Time now = state_.loop.Now();
   OnActivity(state_.freshness, now);
@@ -223,7 +248,7 @@
   if (choice_.source == FeedSource::kRelays)
     ExtendRegistryUnreliable(state_.endpoints, MinUnreliableFor(choice_, now),
                              now);
-  ApplyItems(ApplyPush(table_, push));
+  ApplyItems(ApplyPush(table_, push), from.value());
   if (push.state_age_ms < kUnknownStateAgeMs && IsUpToDate(table_, push))
     Confirm(from.value(), std::chrono::milliseconds(push.state_age_ms));
 }
@@ -256,6 +281,12 @@
   mesh_->SendToAll(to, push);
 }
 
+int64_t StoreCacheFeed::StateAgeMs() const {
+  return IsConfirmed(state_.freshness)
+             ? Millis(state_.loop.Now() - state_.freshness.confirmed_at)
+             : -1;
+}
+
 Duration StoreCacheFeed::UnreliableFor() const {
   return state_.endpoints.registry_unreliable_until - state_.loop.Now();
 }
@@ -296,15 +327,17 @@
   }
 }
 
-void StoreCacheFeed::ApplyItems(const std::vector<CacheItem>& items) {
+void StoreCacheFeed::ApplyItems(const std::vector<CacheItem>& items,
+                                const std::string& source) {
   for (const CacheItem& it : items) {
     if (it.kind == platform::kEndpointKind)
       ApplyEndpoint(it);
     else if (it.kind == platform::kConfigKind)
-      ApplyConfig(it);
+      ApplyConfig(it, source);
     else if (it.kind == platform::kEvacuationKind)
-      ApplyEvacuation(it);
+      ApplyEvacuation(it, source);
   }
+  state_.source.positions = PositionsOf(table_).positions;
   UpdateComplete();
 }
 
@@ -337,7 +370,8 @@
       });
 }
 
-void StoreCacheFeed::ApplyConfig(const CacheItem& item) {
+void StoreCacheFeed::ApplyConfig(const CacheItem& item,
+                                 const std::string& source) {
   if (item.name != platform::kConfigName || item.removed)
     return;
   auto config = TryOr(
@@ -360,20 +394,24 @@
                    : "Ignored a configuration that is not newer.")
       .With("version", config->version)
       .With("before", before)
-      .With("revision", item.revision);
+      .With("revision", item.revision)
+      .With("source", source)
+      .With("state_age_ms", StateAgeMs());
   if (!is_newer)
     return;
   state_.config = std::move(config);
   state_.members.self.config_version = state_.config->version;
 }
 
-void StoreCacheFeed::ApplyEvacuation(const CacheItem& item) {
+void StoreCacheFeed::ApplyEvacuation(const CacheItem& item,
+                                     const std::string& source) {
   const ZoneId zone(item.name);
   LogLine(LogLevel::kInfo, "endpoints",
           item.removed ? "Evacuation of an availability zone ended."
                        : "Evacuation of an availability zone started.")
       .With("zone", zone)
-      .With("revision", item.revision);
+      .With("revision", item.revision)
+      .With("source", source);
   if (!item.removed) {
     SetEvacuated(state_.endpoints, zone);
     return;
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -51,15 +51,24 @@
   void OnFollowed(const std::string& kind);
   // The state was current `age` ago, by an answer of `source`.
   void Confirm(const std::string& source, Duration age);
-  void LogFeedChoice() const;
+  // Writes the source and the relays to the log and to the gateway's state.
+  void RecordFeedChoice();
+  void LogList(const std::string& kind,
+               const StoreChange& list,
+               uint64_t before,
+               size_t changed) const;
+  // Time since the state was last confirmed; -1 if it was not since the start.
+  int64_t StateAgeMs() const;
   void OnMessage(const HostId& from, const Message& message);
   void OnFollowMessage(const HostId& from, const CacheFollow& follow);
   void OnPush(const HostId& from, const CachePush& push);
   void UpdateComplete();
-  void ApplyItems(const std::vector<CacheItem>& items);
+  // `source`: the relay that sent them, or "store".
+  void ApplyItems(const std::vector<CacheItem>& items,
+                  const std::string& source);
   void ApplyEndpoint(const CacheItem& item);
-  void ApplyConfig(const CacheItem& item);
-  void ApplyEvacuation(const CacheItem& item);
+  void ApplyConfig(const CacheItem& item, const std::string& source);
+  void ApplyEvacuation(const CacheItem& item, const std::string& source);
   void ApplyChanges(const std::vector<EndpointChange>& changes);
   void OnStoreReachable(bool reachable);
   void ProbeStore();
