Tests: when versions, records and evacuations take effect

Process tests with relays that are killed, suspended or lose the store, lost answers, a store that is down, stale lists with both readings of as-of, and versions that are unreadable in part.

--- /dev/null
+++ b/tests/gateway/config_versions_test.cc
@@ -0,0 +1,430 @@
+// When versions of the configuration, records of endpoints and evacuations take
+// effect, tested with gateway processes and judged by requests sent to each
+// host.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/gateway_fixture.h"
+#include "soak/fault_proxy.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Json = nlohmann::json;
+
+constexpr int kHosts = 4;
+constexpr uint16_t kProxyPort = 8150;
+// The shortest limits that the platform's documentation states for any
+// deployment: for a version at hosts without a disturbance, and for a host to
+// count as undisturbed after one.
+constexpr milliseconds kApplyTime{2000};
+constexpr milliseconds kStableWindow{3000};
+// Until hosts that start together have chosen their relays for good.
+constexpr seconds kSettleTime{6};
+
+class ConfigVersionsTest : public GatewayTest {
+ protected:
+  // Starts the hosts, each with its own way to the store.
+  void StartHosts() {
+    PutNextVersion();
+    endpoints_.push_back(&world_.AddEndpoint("rondas", "cuyo-a"));
+    endpoints_.push_back(&world_.AddEndpoint("rondas", "pampa-a"));
+    for (int i = 1; i <= kHosts; ++i) {
+      const Address listen = world_.HostAddress(i, kProxyPort);
+      ways_.push_back(std::make_unique<FaultProxy>(world_.loop(), listen,
+                                                   world_.StoreAddress()));
+      world_.SetStoreAddress(i, listen);
+      world_.StartGateway(i);
+      alive_.insert(i);
+    }
+    for (const int it : alive_)
+      ASSERT_TRUE(world_.WaitReady(it)) << it;
+    FindRelays();
+  }
+
+  // Waits until only the relays follow the store.
+  void FindRelays() {
+    Wait(kSettleTime);
+    ASSERT_TRUE(world_.Eventually(kSettleTime, [&] {
+      relays_.clear();
+      for (const int it : alive_) {
+        if (StateOf(it)["source"]["feed"] == "store")
+          relays_.insert(it);
+      }
+      return relays_.size() == 2U;
+    }));
+  }
+
+  FaultProxy& WayToStore(int host) {
+    return *ways_[static_cast<size_t>(host - 1)];
+  }
+
+  // Ends the run of a host, or suspends it.
+  void Disable(int host, int signal) {
+    world_.Signal(host, signal);
+    if (signal == SIGKILL) {
+      ASSERT_TRUE(world_.WaitEnd(host, seconds(3)));
+    }
+    alive_.erase(host);
+  }
+
+  void Restart(int host) {
+    Disable(host, SIGKILL);
+    world_.StartGateway(host);
+    ASSERT_TRUE(world_.WaitReady(host));
+    alive_.insert(host);
+  }
+
+  int AnyFollower() const {
+    for (const int it : alive_) {
+      if (relays_.count(it) == 0)
+        return it;
+    }
+    return 0;
+  }
+
+  // Each version has a route of its own, with the prefix RouteOf(version).
+  void PutNextVersion() {
+    ++version_;
+    world_.PutConfig(version_, RouteOf(version_));
+  }
+  static std::string RouteOf(int version) {
+    return "/v" + std::to_string(version) + "/";
+  }
+
+  Json StateOf(int host) {
+    PlatformStandinCaller caller(world_.loop(), world_.OperatorAddressOf(host));
+    caller.Send("GET /state HTTP/1.1\r\nHost: h\r\n\r\n");
+    world_.RunUntil(milliseconds(500),
+                    [&] { return !caller.answers().empty(); });
+    return caller.answers().empty()
+               ? Json::object()
+               : Json::parse(caller.answers()[0].body, nullptr, false);
+  }
+
+  // Whether the newest version is in effect at all hosts that are alive,
+  // `limit` from now at the latest.
+  bool IsInEffectWithin(milliseconds limit) {
+    const Time start = world_.loop().Now();
+    bool in_effect = world_.Eventually(limit, [&] { return ServesNewest(); });
+    std::cout << "version " << version_ << ": "
+              << Millis(world_.loop().Now() - start) << " ms\n";
+    if (!in_effect) {
+      for (const int it : alive_)
+        std::cout << "host " << it << ": " << StateOf(it)["source"] << '\n';
+    }
+    return in_effect;
+  }
+
+  bool ServesNewest() {
+    for (const int it : alive_) {
+      const std::string id = "v" + std::to_string(++requests_);
+      if (StatusAt(it, RequestText("GET", RouteOf(version_) + "1", id)) != 200)
+        return false;
+    }
+    return true;
+  }
+
+  // Sends reads of different objects to the host. Returns how many were
+  // answered 200.
+  int SendReads(int host, int n) {
+    int served = 0;
+    for (int i = 0; i < n; ++i) {
+      const std::string id = "o" + std::to_string(++requests_);
+      served +=
+          StatusAt(host, RequestText("GET", "/read/" + id, id,
+                                     "Cookie: Affinity-Key=" + id + "\r\n")) ==
+          200;
+    }
+    return served;
+  }
+
+  std::vector<std::unique_ptr<FaultProxy>> ways_;
+  std::set<int> alive_;
+  std::set<int> relays_;  // Hosts that followed the store when all had settled.
+  int version_ = 0;
+  int requests_ = 0;
+};
+
+class StaleListsTest : public ConfigVersionsTest,
+                       public testing::WithParamInterface<bool> {
+ protected:
+  void SetStaleLists() {
+    world_.store().set_stale_lists_name_present_revision(GetParam());
+    world_.store().set_stale_lists(true);
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(AsOf,
+                         StaleListsTest,
+                         testing::Bool(),
+                         [](const auto& it) {
+                           return it.param ? "PresentRevision" : "OldRevision";
+                         });
+
+// Incident 030.
+TEST_P(StaleListsTest, HostThatTurnsToTheStoreMissesNoVersion) {
+  StartHosts();
+  SetStaleLists();
+  for (const int it : relays_)
+    Disable(it, SIGKILL);
+  PutNextVersion();
+  EXPECT_TRUE(IsInEffectWithin(kApplyTime));
+}
+
+// Incident 030.
+TEST_P(StaleListsTest,
+       HostThatTurnsToTheStoreKeepsEndpointsThatHaveJustJoined) {
+  StartHosts();
+  SetStaleLists();
+  PlatformStandinEndpoint& joined = world_.AddEndpoint("rondas", "cuyo-a");
+  Wait(seconds(1));
+  for (const int it : relays_)
+    Disable(it, SIGKILL);
+  Wait(kApplyTime);
+  const int host = AnyFollower();
+  const int before = joined.arrivals();
+  EXPECT_EQ(SendReads(host, 30), 30);
+  EXPECT_GT(joined.arrivals(), before);
+}
+
+// Incident 030.
+TEST_P(StaleListsTest, HostThatStartsHeedsAnEvacuationOfTheLastSeconds) {
+  StartHosts();
+  SetStaleLists();
+  world_.store().Put("evacuations", "cuyo-a", Json::object());
+  Restart(AnyFollower());
+  Wait(kStableWindow);
+  const int before = endpoints_[0]->arrivals();
+  EXPECT_EQ(SendReads(AnyFollower(), 30), 30);
+  EXPECT_EQ(endpoints_[0]->arrivals(), before);
+}
+
+// Incident 030.
+TEST_P(StaleListsTest, HostThatStartsHeedsADrainingOfTheLastSeconds) {
+  StartHosts();
+  SetStaleLists();
+  Json record = endpoints_[0]->Record("rondas", "cuyo-a");
+  record["state"] = "draining";
+  world_.store().Put("servers", "i-1", record);
+  Restart(AnyFollower());
+  Wait(kStableWindow);
+  const int before = endpoints_[0]->arrivals();
+  EXPECT_EQ(SendReads(AnyFollower(), 30), 30);
+  EXPECT_EQ(endpoints_[0]->arrivals(), before);
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, VersionAppliesInTimeWhenAllRelaysLoseTheStore) {
+  StartHosts();
+  for (const ProxyMode mode :
+       {ProxyMode::kSilent, ProxyMode::kCutBackward, ProxyMode::kRefuse}) {
+    SCOPED_TRACE(static_cast<int>(mode));
+    for (const int it : relays_) {
+      WayToStore(it).set_mode(mode);
+      if (mode == ProxyMode::kRefuse)
+        WayToStore(it).ResetAll();
+      alive_.erase(it);  // Not judged while they are cut off.
+    }
+    PutNextVersion();
+    EXPECT_TRUE(IsInEffectWithin(kApplyTime));
+    for (const int it : relays_) {
+      WayToStore(it).set_mode(ProxyMode::kPass);
+      alive_.insert(it);
+    }
+    EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+    FindRelays();
+  }
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, VersionAppliesInTimeWhenAllRelaysAreSuspended) {
+  StartHosts();
+  for (const int it : relays_)
+    Disable(it, SIGSTOP);
+  PutNextVersion();
+  EXPECT_TRUE(IsInEffectWithin(kApplyTime));
+  for (const int it : relays_) {
+    world_.Signal(it, SIGCONT);
+    alive_.insert(it);
+  }
+  EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, VersionAppliesInTimeWhenAllRelaysAreKilled) {
+  StartHosts();
+  for (const int it : relays_)
+    Disable(it, SIGKILL);
+  PutNextVersion();
+  EXPECT_TRUE(IsInEffectWithin(kApplyTime));
+}
+
+// Incident 030. The connections on which answers were lost stay silent.
+TEST_F(ConfigVersionsTest, VersionAppliesInTimeAfterAnswersOfTheStoreWereLost) {
+  StartHosts();
+  for (const milliseconds lost :
+       {milliseconds(300), milliseconds(1000), milliseconds(1700),
+        milliseconds(2400), milliseconds(4000), milliseconds(7000)}) {
+    SCOPED_TRACE(lost.count());
+    for (const auto& it : ways_)
+      it->set_mode(ProxyMode::kCutBackward);
+    Wait(lost);
+    PutNextVersion();
+    for (const auto& it : ways_)
+      it->set_mode(ProxyMode::kPass);
+    EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+    Wait(seconds(2));
+  }
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, VersionAppliesInTimeAfterTheStoreWasDown) {
+  StartHosts();
+  for (const milliseconds down : {milliseconds(300), milliseconds(1500),
+                                  milliseconds(3000), milliseconds(6000)}) {
+    SCOPED_TRACE(down.count());
+    world_.store().set_down(true);
+    world_.store().EndWatches();
+    Wait(down);
+    PutNextVersion();
+    world_.store().set_down(false);
+    EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+    Wait(seconds(2));
+  }
+}
+
+struct UnreadableCase {
+  const char* name;
+  // Changes the configuration; its route /download/ is at the index kChanged.
+  std::function<void(Json& config, Json& route)> change;
+  int status;  // Of requests of that route.
+};
+
+constexpr size_t kChanged = 3;
+
+std::vector<UnreadableCase> UnreadableCases() {
+  const auto set = [](const char* field, Json value) {
+    return [=](Json&, Json& route) { route[field] = value; };
+  };
+  return {
+      {"unknown field", set("colour", {{"r", 1}}), 200},
+      {"unknown route type", set("route-type", "stream"), 200},
+      {"route type of another type", set("route-type", 7), 200},
+      {"timeout of another type", set("timeout-s", "2"), 200},
+      {"very large timeout", set("timeout-s", 1e300), 200},
+      {"very large number of attempts", set("max-attempts", 1e15), 200},
+      {"priority out of range", set("priority", -1e12), 200},
+      {"target latency of another type", set("target-latency-s", {1}), 200},
+      {"stickiness of another type", set("sticky-session", "yes"), 200},
+      {"name of another type", set("name", 5), 200},
+      {"service of another type", set("service", 5), 503},
+      {"service that is not defined", set("service", "nowhere"), 503},
+      {"home regions of another type", set("home-regions", "cuyo"), 503},
+      {"home region of another type", set("home-regions", {"cuyo", 5}), 503},
+      {"split without weight",
+       set("traffic-split", Json::array({{{"service", "rondas"}}})), 200},
+      {"split with a weight of another type",
+       set("traffic-split",
+           Json::array({{{"service", "rondas"}, {"weight", "1"}}})),
+       503},
+      {"split of another type", set("traffic-split", "rondas"), 503},
+      {"null in place of a route",
+       [](Json& config, Json&) {
+         config["hosts"][0]["paths"].push_back(nullptr);
+       },
+       200},
+      {"route without a prefix",
+       [](Json& config, Json&) {
+         config["hosts"][0]["paths"].push_back({{"service", "rondas"}});
+       },
+       200},
+      {"number in place of a host",
+       [](Json& config, Json&) { config["hosts"].push_back(5); }, 200},
+      {"repeated host",
+       [](Json& config, Json& route) {
+         Json moved = route;
+         config["hosts"][0]["paths"].erase(kChanged);
+         config["hosts"].push_back(
+             {{"host", "h.example"}, {"paths", Json::array({moved})}});
+       },
+       200},
+      {"host name in capitals",
+       [](Json& config, Json&) { config["hosts"][0]["host"] = "H.Example"; },
+       200},
+      {"repeated prefix",
+       [](Json& config, Json& route) {
+         config["hosts"][0]["paths"].push_back(Json(route));
+       },
+       200},
+      {"service without a name",
+       [](Json& config, Json&) {
+         config["services"].push_back({{"cold-start-s", 3}});
+       },
+       200},
+      {"service with a limit of another type",
+       [](Json& config, Json&) {
+         config["services"][0]["max-connections"] = "many";
+       },
+       200},
+      {"limit of another type",
+       [](Json& config, Json&) { config["limits"]["header-bytes"] = "4k"; },
+       200},
+  };
+}
+
+// Incident 030.
+TEST_F(GatewayTest, VersionThatIsUnreadableInPartAppliesOtherwise) {
+  StartOne();
+  int version = 1;
+  for (const UnreadableCase& it : UnreadableCases()) {
+    SCOPED_TRACE(it.name);
+    const std::string added = "/v" + std::to_string(++version) + "/";
+    Json config = world_.ConfigJson(version, added);
+    Json& route = config["hosts"][0]["paths"][kChanged];
+    ASSERT_EQ(route["path-prefix"], "/download/");
+    it.change(config, route);
+    world_.store().Put("config", "main", config);
+    EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+      return Status(RequestText("GET", added + "1", "a" + added)) == 200;
+    }));
+    EXPECT_EQ(Status(RequestText("GET", "/read/1", "r" + added)), 200);
+    EXPECT_EQ(Status(RequestText("GET", "/download/1", "d" + added)),
+              it.status);
+  }
+}
+
+// Incident 030.
+TEST_F(GatewayTest, HostStartsWithAVersionThatIsUnreadableInPart) {
+  Json config = world_.ConfigJson(1, "");
+  config["hosts"][0]["paths"][kChanged]["timeout-s"] = "2";
+  world_.store().Put("config", "main", config);
+  world_.AddEndpoint("rondas");
+  address_ = world_.StartGateway(1);
+  ASSERT_TRUE(world_.WaitReady(1));
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "s1")), 200);
+}
+
+// Incident 030.
+TEST_F(GatewayTest, VersionWithANumberOutOfRangeDoesNotHideLaterOnes) {
+  StartOne();
+  Json config = world_.ConfigJson(2, "/odd/");
+  config["version"] = "r99999999999999999999999";
+  world_.store().Put("config", "main", config);
+  Wait(milliseconds(500));
+  EXPECT_EQ(Status(RequestText("GET", "/read/1", "n1")), 200);
+  world_.PutConfig(3, "/later/");
+  EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+    return Status(RequestText("GET", "/later/1", "n2")) == 200;
+  }));
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -52,6 +52,11 @@
   // Lists that may be stale show the state at the first of these calls, until
   // it is called with false.
   void set_stale_lists(bool stale);
+  // Such lists name the store's present revision rather than the one of the
+  // state that they show. The platform's documentation allows both.
+  void set_stale_lists_name_present_revision(bool on) {
+    stale_names_present_revision_ = on;
+  }
   // While `down` is set, all calls are answered 503.
   void set_down(bool down) { down_ = down; }
   // Answers all watches that wait with 503, for the end of a test.
@@ -104,6 +109,7 @@
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
   std::optional<Snapshot> stale_;  // What lists that may be stale show.
+  bool stale_names_present_revision_ = false;
   size_t page_size_ = 500;
   bool down_ = false;
   int calls_ = 0;
@@ -355,6 +361,8 @@
   // empty.
   // `version` must grow with each call. Home regions are those of SetHomes().
   void PutConfig(int version, const std::string& extra_prefix = "");
+  // What PutConfig() writes.
+  nlohmann::json ConfigJson(int version, const std::string& extra_prefix) const;
   // Home regions of the route with this prefix, in configurations that are
   // written from now on. Empty: any region. A prefix that PutConfig() does not
   // list becomes a route, not idempotent if it begins with /charge/.
