Take a stale list for no newer than the objects that it shows

What callers saw: a host that turned from its relays to the store while a version was written never applied it, and lost endpoints that had just joined; a host that started sent requests to an evacuated zone and to endpoints that were draining, for as long as nothing else changed there.

Cause: a list that may be stale can name the store's present revision. The cache took that for the position of its content, watched from there, and ignored pushes of relays up to there; as a relay, the host passed the position on.

A host that turns to the store watches from the positions of its cache, without a list; the first watch is answered at once. The first evacuations are read current, as the first configuration is. A list removes only objects that are not newer than itself.

With the named revision taken for the position again, the draining case and both cases of StaleListHasThePositionOfItsOldestPage fail; without the limit on removals, ListDoesNotRemoveObjectsThatAreNewerThanItself fails.

--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -132,13 +132,13 @@
   }
 }
 
-// A host sends by the homes of its first configuration, which must not be older
-// than its start. The other kinds may have many pages; until the feed's source
-// has confirmed them, requests with home regions are refused.
+// A host sends by its first configuration and evacuations, which must not be
+// older than its start. Endpoint records may have many pages; what the list
+// lacks is delivered by the feed's source.
 ListFreshness StoreCacheFeed::FreshnessOfFirstList(
     const std::string& kind) const {
-  return kind == platform::kConfigKind ? ListFreshness::kCurrent
-                                       : ListFreshness::kMayBeStale;
+  return kind == platform::kEndpointKind ? ListFreshness::kMayBeStale
+                                         : ListFreshness::kCurrent;
 }
 
 void StoreCacheFeed::OnStoreChange(const std::string& kind,
@@ -185,17 +185,12 @@
 
 void StoreCacheFeed::FollowStore() {
   followed_at_.clear();
-  follows_current_lists_ = !IsConfirmed(state_.freshness);
   for (const auto& [kind, known] : table_.kinds) {
-    store_watches_.push_back(
-        store_->Follow(kind,
-                       follows_current_lists_ ? ListFreshness::kCurrent
-                                              : ListFreshness::kMayBeStale,
-                       [this, name = kind](const StoreChange& change) {
-                         OnStoreChange(name, change);
-                         if (!change.complete || follows_current_lists_)
-                           OnFollowed(name);
-                       }));
+    store_watches_.push_back(store_->Follow(
+        kind, known.as_of, [this, name = kind](const StoreChange& change) {
+          OnStoreChange(name, change);
+          OnFollowed(name);
+        }));
   }
 }
 
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -96,7 +96,6 @@
   // When the store last answered the follower of each kind with the current
   // state, since it is followed.
   std::map<std::string, Time> followed_at_;
-  bool follows_current_lists_ = false;
   std::unique_ptr<Watch> tick_;
   std::unique_ptr<Watch> own_host_retry_;
   bool is_complete_ = false;
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -50,7 +50,8 @@
   }
   std::vector<CacheItem> removed;
   for (const auto& [object, it] : kind.objects) {
-    if (listed.count(object) == 0)
+    // The list cannot tell of objects that are newer than itself.
+    if (listed.count(object) == 0 && it.revision <= as_of)
       removed.push_back({name, object, as_of, true, ""});
   }
   for (const CacheItem& it : removed) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -27,13 +27,14 @@
   // kUnknown if the write may have taken effect.
   virtual void PutIf(const StorePut& put, Done done) = 0;
 
-  // Lists the objects of a kind and then reports its changes until the returned
-  // Watch is destroyed. `freshness` is that of the first list. Also reports, at
-  // least every few seconds, that nothing has changed. After an
-  // interruption it may report the complete list again.
+  // Reports the changes of a kind after revision `from`, until the returned
+  // Watch is destroyed. Reports the complete list first if `from` is zero or
+  // the store has no changes that old; it may do so again after an
+  // interruption. Also reports, at once and at least every few seconds, that
+  // nothing has changed. All that is reported is current.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
-      ListFreshness freshness,
+      uint64_t from,
       std::function<void(StoreChange)> on_change) = 0;
 
   // `fn` is called when the store becomes reachable or unreachable for this
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -173,7 +173,7 @@
 
   std::unique_ptr<Watch> Follow(
       const std::string& kind,
-      ListFreshness freshness,
+      uint64_t from,
       std::function<void(StoreChange)> on_change) override;
 
   CurlDriver& driver() { return driver_; }
@@ -330,7 +330,7 @@
 
 std::unique_ptr<Watch> StoreClient::Follow(
     const std::string& kind,
-    ListFreshness /*freshness*/,
+    uint64_t /*from*/,
     std::function<void(StoreChange)> on_change) {
   auto follower =
       std::make_shared<Follower>(*this, loop_, kind, std::move(on_change));
--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gateway/gateway_fixture.h"
+#include "platform/platform.h"
 #include "soak/fault_proxy.h"
 
 namespace sassafras {
@@ -221,6 +222,32 @@
   EXPECT_EQ(endpoints_[0]->arrivals(), before);
 }
 
+// Incident 030.
+TEST_P(StaleListsTest, StaleListHasThePositionOfItsOldestPage) {
+  constexpr int kObjects = 5;
+  std::vector<uint64_t> positions;
+  const auto store =
+      platform::ConnectStore(world_.loop(), world_.StoreAddress());
+  const auto read_list = [&](ListFreshness freshness) {
+    const size_t before = positions.size();
+    store->List({"k", {}, freshness}, [&](const StoreReply& it) {
+      EXPECT_EQ(it.objects.size(), static_cast<size_t>(kObjects));
+      positions.push_back(it.as_of);
+    });
+    return world_.RunUntil(kAnswerTimeout,
+                           [&] { return positions.size() > before; });
+  };
+  world_.store().set_page_size(2);
+  // Revisions 2 to 6.
+  for (int i = kObjects; i > 0; --i)
+    world_.store().Put("k", "o" + std::to_string(i), Json::object());
+  SetStaleLists();
+  world_.store().Put("k", "o3", Json::object());
+  ASSERT_TRUE(read_list(ListFreshness::kMayBeStale));
+  ASSERT_TRUE(read_list(ListFreshness::kCurrent));
+  EXPECT_EQ(positions, (std::vector<uint64_t>{2, 7}));
+}
+
 // Incident 030.
 TEST_F(ConfigVersionsTest, VersionAppliesInTimeWhenAllRelaysLoseTheStore) {
   StartHosts();
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -41,6 +41,18 @@
   EXPECT_EQ(cache.kinds["k"].as_of, 8U);
 }
 
+// Incident 030.
+TEST(StoreCacheTest, ListDoesNotRemoveObjectsThatAreNewerThanItself) {
+  StoreCache cache = MakeStoreCache({"k"});
+  ApplyStoreChange(cache, "k",
+                   List({{"k", "a", 5, "1"}, {"k", "b", 9, "2"}}, 5));
+  const auto applied =
+      ApplyStoreChange(cache, "k", List({{"k", "c", 7, "3"}}, 7));
+  ASSERT_EQ(applied.size(), 2U);
+  EXPECT_EQ(cache.kinds["k"].objects.count("a"), 0U);
+  EXPECT_EQ(cache.kinds["k"].objects.count("b"), 1U);
+}
+
 TEST(StoreCacheTest, FollowerGetsAllThenChanges) {
   StoreCache relay = MakeStoreCache({"k"});
   StoreCache host = MakeStoreCache({"k"});
--- a/tests/store/store_client_test.cc
+++ b/tests/store/store_client_test.cc
@@ -39,7 +39,7 @@
     return names;
   const auto store = ConnectStore(loop, config.listen, kTimeout);
   const auto follower = store->Follow(
-      "k", ListFreshness::kCurrent, [&](const StoreChange& change) {
+      "k", 0, [&](const StoreChange& change) {
         for (const StoreObject& it : change.objects)
           names.push_back(it.name);
         loop.Stop();
