Apply what can be read of a version

What callers saw: routes that a version added were not served, and others stayed on the old service, if one field of the version was of another type or out of range; a host that started then was never ready.

Cause: DecodeConfig() gave up at the first field that it could not read, and the host went on with the previous version. Also, a version number beyond 64 bits counted as the largest one, so that no later version was newer.

Each part is now read by itself. A route whose services or homes cannot be read refuses its requests (503), so that they reach neither a wrong service nor the route of a shorter prefix. What cannot be read is logged with its version, route and field. The version is refused as a whole only if its number or all hosts cannot be read. Host names are compared in lower case on both sides.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -118,6 +118,10 @@
     SendOwnAnswer(kHttpNotFound, "no_route", std::nullopt);
     return;
   }
+  if (route_->is_unreadable) {
+    Refuse("route_unreadable", kUnknownStateRetryAfter);
+    return;
+  }
   const Duration limit =
       std::min(request_.time_limit.value_or(route_->timeout), route_->timeout);
   deadline_ = arrived_ + limit;
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -36,6 +36,16 @@
       .With("warmup_ms", Millis(change.endpoint->record.warmup_left));
 }
 
+void LogUnreadableParts(const SteeringConfig& config) {
+  for (const std::string& it : config.unreadable) {
+    LogLine(LogLevel::kError, "config",
+            "A part of the configuration cannot be read.")
+        .With("version", config.version)
+        .With("reason", it)
+        .With("unreadable_parts", config.unreadable_count);
+  }
+}
+
 }  // namespace
 
 StoreCacheFeed::StoreCacheFeed(GatewayState& state,
@@ -394,6 +404,7 @@
       .With("state_age_ms", StateAgeMs());
   if (!is_newer)
     return;
+  LogUnreadableParts(*config);
   state_.config = std::move(config);
   state_.members.self.config_version = state_.config->version;
 }
--- a/src/routing/home_regions.cc
+++ b/src/routing/home_regions.cc
@@ -115,7 +115,8 @@
 }
 
 HomeRegions HomesOfRoute(const RequestRoute& route) {
-  return {!route.home_regions.empty(), route.home_regions};
+  return {route.is_unreadable || !route.home_regions.empty(),
+          route.home_regions};
 }
 
 HomeRegions HomesOfRequest(const SteeringConfig& config,
--- a/src/routing/steering_config.cc
+++ b/src/routing/steering_config.cc
@@ -46,7 +46,13 @@
   return long_priority;
 }
 
-std::string HostName(std::string_view host) {
+bool BeginsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+}  // namespace
+
+std::string NormalizeHostName(std::string_view host) {
   std::string name(host.substr(0, host.rfind(':')));
   std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
     return static_cast<char>(std::tolower(c));
@@ -54,12 +60,6 @@
   return name;
 }
 
-bool BeginsWith(std::string_view text, std::string_view prefix) {
-  return text.substr(0, prefix.size()) == prefix;
-}
-
-}  // namespace
-
 void SortRoutes(SteeringConfig& config) {
   for (auto& [host, routes] : config.hosts) {
     std::stable_sort(routes.begin(), routes.end(),
@@ -104,7 +104,7 @@
 
 const std::vector<RequestRoute>* FindRoutes(const SteeringConfig& config,
                                             std::string_view host) {
-  const auto it = config.hosts.find(HostName(host));
+  const auto it = config.hosts.find(NormalizeHostName(host));
   return it == config.hosts.end() ? nullptr : &it->second;
 }
 
--- a/src/routing/steering_config.h
+++ b/src/routing/steering_config.h
@@ -55,6 +55,8 @@
   bool sticky = false;   // Endpoints are faster for objects they have handled.
   std::vector<RegionId> home_regions;        // Empty: any region.
   std::vector<TrafficShare> traffic_shares;  // At least one.
+  // Its services or home regions cannot be read; its requests are refused.
+  bool is_unreadable = false;
 };
 
 struct ServiceConfig {
@@ -76,7 +78,7 @@
 struct SteeringConfig {
   uint64_t version = 0;
   RequestLimits limits;
-  // Routes by host name, longest prefix first; see SortRoutes().
+  // Routes by normalized host name, longest prefix first; see SortRoutes().
   std::unordered_map<std::string, std::vector<RequestRoute>> hosts;
   bool has_home_regions = false;  // Any route has some; see SortRoutes().
   std::unordered_map<ServiceId, ServiceConfig> services;
@@ -84,8 +86,15 @@
   // greater one are long compared to the more urgent ones; see
   // FindLongWorkPriorities().
   std::unordered_map<ServiceId, int> long_work_priorities;
+  // Parts that cannot be read: what and why of the first few, and how many.
+  // They have defaults, or are left out.
+  std::vector<std::string> unreadable;
+  size_t unreadable_count = 0;
 };
 
+// The form in which host names are compared: lower case, without port.
+std::string NormalizeHostName(std::string_view host);
+
 // Sorts each host name's routes as FindRoute() requires. Sets
 // `has_home_regions`.
 void SortRoutes(SteeringConfig& config);
--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -27,6 +27,8 @@
 // count as undisturbed after one.
 constexpr milliseconds kApplyTime{2000};
 constexpr milliseconds kStableWindow{3000};
+// From a host's start until it follows the store or a relay.
+constexpr milliseconds kFirstFollow{1200};
 // Until hosts that start together have chosen their relays for good.
 constexpr seconds kSettleTime{6};
 
@@ -442,6 +444,7 @@
 // Incident 030.
 TEST_F(GatewayTest, VersionWithANumberOutOfRangeDoesNotHideLaterOnes) {
   StartOne();
+  Wait(kFirstFollow);
   Json config = world_.ConfigJson(2, "/odd/");
   config["version"] = "r99999999999999999999999";
   world_.store().Put("config", "main", config);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -8,6 +8,8 @@
 
 #include <random>
 
+#include "routing/home_regions.h"
+
 namespace sassafras::platform {
 namespace {
 
@@ -197,6 +199,38 @@
   EXPECT_FALSE(MayRepeat(FindRoute(config, "h.example", "/x/y/1")->kind));
 }
 
+// Incident 030.
+TEST(PlatformObjectsTest, UnreadableRouteIsNamedAndRefused) {
+  std::string text = kConfigJson;
+  text.replace(text.find("\"traffic-split\":["), 17,
+               "\"home-regions\":5,\"traffic-split\":[");
+  std::string error;
+  const SteeringConfig config = DecodeConfigText(text, error);
+  ASSERT_EQ(error, "");
+  EXPECT_EQ(config.version, 7U);
+  const RequestRoute* unreadable = FindRoute(config, "h.example", "/x/y/1");
+  ASSERT_TRUE(unreadable);
+  EXPECT_TRUE(unreadable->is_unreadable);
+  EXPECT_FALSE(IsHome(HomesOfRoute(*unreadable), RegionId("r")));
+  EXPECT_FALSE(FindRoute(config, "h.example", "/x/1")->is_unreadable);
+  ASSERT_EQ(config.unreadable.size(), 1U);
+  EXPECT_NE(config.unreadable[0].find("route /x/y/ home-regions"),
+            std::string::npos)
+      << config.unreadable[0];
+}
+
+// Incident 030.
+TEST(PlatformObjectsTest, RejectsVersionsThatAreNoNumbers) {
+  for (const char* it :
+       {"r", "7", "r-1", "r+1", "r 1", "r1 ", "r99999999999999999999999"}) {
+    std::string text = kConfigJson;
+    text.replace(text.find("\"r7\""), 4, '"' + std::string(it) + '"');
+    std::string error;
+    DecodeConfigText(text, error);
+    EXPECT_NE(error.find("version"), std::string::npos) << it;
+  }
+}
+
 // Overwrites three random bytes of a configuration. Decoding must return a
 // result or an error and must not crash or throw.
 TEST(PlatformObjectsTest, AcceptsOrRejectsCorruptedObjects) {
