--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -11,6 +11,7 @@
 
 #include "gateway/gateway_fixture.h"
 #include "platform/platform.h"
+#include "routing/relay_choice.h"
 #include "soak/fault_proxy.h"
 
 namespace sassafras {
@@ -35,11 +36,11 @@
 class ConfigVersionsTest : public GatewayTest {
  protected:
   // Starts the hosts, each with its own way to the store.
-  void StartHosts() {
+  void StartHosts(int hosts = kHosts) {
     PutNextVersion();
     endpoints_.push_back(&world_.AddEndpoint("rondas", "cuyo-a"));
     endpoints_.push_back(&world_.AddEndpoint("rondas", "pampa-a"));
-    for (int i = 1; i <= kHosts; ++i) {
+    for (int i = 1; i <= hosts; ++i) {
       const Address listen = world_.HostAddress(i, kProxyPort);
       ways_.push_back(std::make_unique<FaultProxy>(world_.loop(), listen,
                                                    world_.StoreAddress()));
@@ -61,7 +62,7 @@
         if (StateOf(it)["source"]["feed"] == "store")
           relays_.insert(it);
       }
-      return relays_.size() == 2U;
+      return relays_.size() == std::min(alive_.size(), kRelayCount);
     }));
   }
 
@@ -330,6 +331,56 @@
   }
 }
 
+// Incident 030.
+TEST_F(ConfigVersionsTest, VersionAppliesInTimeAfterConnectionsFellSilent) {
+  constexpr int kRounds = 8;
+  constexpr milliseconds kStep{170};
+  StartHosts();
+  for (int round = 0; round < kRounds; ++round) {
+    SCOPED_TRACE(round);
+    Wait(round * kStep);
+    for (const auto& it : ways_)
+      it->SilenceAll();
+    PutNextVersion();
+    EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+    Wait(seconds(2));
+  }
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, OnlyHostAppliesAVersionInTimeAfterLostAnswers) {
+  StartHosts(1);
+  for (const milliseconds lost :
+       {milliseconds(600), milliseconds(1000), milliseconds(2200),
+        milliseconds(3400), milliseconds(4200), milliseconds(6600)}) {
+    SCOPED_TRACE(lost.count());
+    WayToStore(1).set_mode(ProxyMode::kCutBackward);
+    Wait(lost);
+    PutNextVersion();
+    WayToStore(1).set_mode(ProxyMode::kPass);
+    EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+    Wait(seconds(2));
+  }
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, VersionsApplyInTimeWhileHostsRestartInTurn) {
+  constexpr int kRestarts = 12;
+  StartHosts();
+  for (int i = 0; i < kRestarts; ++i) {
+    const int host = 1 + i % kHosts;
+    SCOPED_TRACE(host);
+    world_.Signal(host, i % 2 == 0 ? SIGTERM : SIGKILL);
+    alive_.erase(host);
+    PutNextVersion();
+    EXPECT_TRUE(IsInEffectWithin(kApplyTime));
+    ASSERT_TRUE(world_.WaitEnd(host, seconds(4)));
+    world_.StartGateway(host);
+    ASSERT_TRUE(world_.WaitReady(host));
+    alive_.insert(host);
+  }
+}
+
 struct UnreadableCase {
   const char* name;
   // Changes the configuration; its route /download/ is at the index kChanged.
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -32,6 +32,13 @@
   }
 }
 
+void FaultProxy::SilenceAll() {
+  for (const LinkPtr& it : *links_) {
+    it->user.is_lossy = true;
+    it->behind.is_lossy = true;
+  }
+}
+
 bool FaultProxy::IsCut(bool towards) const {
   return mode_ == ProxyMode::kSilent ||
          mode_ == (towards ? ProxyMode::kCutTowards : ProxyMode::kCutBackward);
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -33,6 +33,8 @@
   void set_mode(ProxyMode mode) { mode_ = mode; }
   // Ends all connections that are open now.
   void ResetAll();
+  // Nothing more arrives on the connections that are open now; new ones work.
+  void SilenceAll();
 
  private:
   struct Side {
