--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -85,6 +85,14 @@
   curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &peer_timeout);
 }
 
+void HttpTransfer::SetMaxIdleTime(std::chrono::seconds time) {
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(time.count()));
+}
+
+void HttpTransfer::UseNewConnection() {
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 std::shared_ptr<HttpTransfer> MakeHttpTransfer(const std::string& url) {
   auto transfer = std::make_shared<HttpTransfer>();
   CURL* easy = transfer->easy;
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -40,6 +40,10 @@
   // Closes the connection if the peer has been unreachable for `timeout`, even
   // while no data is in flight: TCP keepalive probes and TCP_USER_TIMEOUT.
   void EnableKeepAlive(std::chrono::seconds timeout);
+  // Does not use a connection that was idle for longer than `time`.
+  void SetMaxIdleTime(std::chrono::seconds time);
+  // Uses no connection of earlier transfers.
+  void UseNewConnection();
 };
 
 std::shared_ptr<HttpTransfer> MakeHttpTransfer(const std::string& url);
