Turn to the store when no relay is as new as it

Cause: two time-outs in a row. A relay's message counted as news if the store had answered the relay within 1.3 s, and the relay was dropped 1.3 s after the last such message.

A host remembers when the store last answered each relay, and follows the store itself when that is over 1.3 s ago for all of them. The relays are kept.

Evidence: HostWhoseRelaysLoseTheStoreFollowsItInTime (2.8 s before, bound 1.8 s, as of the tests of silent relays beside it).

--- a/src/routing/relay_choice.cc
+++ b/src/routing/relay_choice.cc
@@ -123,6 +123,15 @@
   return !is_any_heard;
 }
 
+// Whether a relay may be as new as the store. A relay that has lost the store
+// goes on sending messages.
+bool HasCurrentRelay(const FeedChoice& choice, Time now) {
+  return std::any_of(choice.relays.begin(), choice.relays.end(),
+                     [&](const auto& it) {
+                       return now - it.second.store_answered <= kRelayTimeout;
+                     });
+}
+
 // Returns true if the choice changes.
 bool ApplyChoice(FeedChoice& choice,
                  FeedSource source,
@@ -135,7 +144,7 @@
   for (const HostId& it : relays) {
     const auto known = choice.relays.find(it);
     const bool is_new = known == choice.relays.end();
-    chosen[it] = is_new ? FollowedRelay{now, std::nullopt} : known->second;
+    chosen[it] = is_new ? FollowedRelay{now, now, std::nullopt} : known->second;
     changed = changed || is_new;
   }
   choice.relays = std::move(chosen);
@@ -180,7 +189,8 @@
       now - input.started < kStartupWait)
     return false;
   const bool had_relays = choice.source == FeedSource::kRelays;
-  const bool is_cut_off = had_relays && DropTimedOutRelays(choice, now);
+  const bool is_cut_off = had_relays && (DropTimedOutRelays(choice, now) ||
+                                         !HasCurrentRelay(choice, now));
   auto relays = FindRelays(input, choice, now);
   const auto self =
       std::find(relays.begin(), relays.end(), input.members->self.id);
@@ -209,6 +219,8 @@
   if (it == choice.relays.end())
     return;
   it->second.unreliable_until = now + unreliable_for;
+  it->second.store_answered =
+      std::max(it->second.store_answered, now - store_age);
   if (store_age <= kRelayTimeout)
     it->second.heard = now;
 }
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -50,6 +50,8 @@
 struct FollowedRelay {
   // When it last sent a message while the store answered it, or was chosen.
   Time heard;
+  // When the store last answered it, by its messages, or when it was chosen.
+  Time store_answered;
   // Until then the relay cannot distinguish lapsed records from removed ones.
   // Empty until it has sent a message.
   std::optional<Time> unreliable_until;
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -283,6 +283,25 @@
   EXPECT_LE(now - kStart, milliseconds(1800));
 }
 
+// Incident 030.
+TEST(RelayChoiceTest, HostWhoseRelaysLoseTheStoreFollowsItInTime) {
+  HostMembers members = View(Follower(), 18, kStart);
+  const FeedInput input{&members, &kRegions, false, kStart};
+  FeedChoice choice;
+  UpdateFeedChoice(choice, input, kStart);
+  Time now = kStart;
+  while (choice.source == FeedSource::kRelays && now - kStart < seconds(9)) {
+    now += kGossipPeriod;
+    HearAll(members, now);
+    // The store answered all of them last at the start.
+    for (const HostId& it : FindRelays(input, choice, now))
+      OnRelayHeard(choice, it, now - kStart, Duration(0), now);
+    UpdateFeedChoice(choice, input, now);
+  }
+  EXPECT_EQ(choice.source, FeedSource::kStore);
+  EXPECT_LE(now - kStart, milliseconds(1800));
+}
+
 // Regression test: one of the two relays worked, while six hosts that replaced
 // the other relay in turn were all cut off. Then the working relay was killed.
 TEST(RelayChoiceTest, ConsecutiveRelayFailuresAddRelays) {
