Soak: judge when versions take effect, with silent connections

Hosts are probed on the route of the newest version and on the one that it dropped: no version late at a host in touch, none older again in one process. Stale lists have either reading of as-of, a third of the versions has a route that cannot be read, connections to the store fall silent. A host that ends by itself is reported with its signal or code.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <set>
@@ -22,6 +23,7 @@
 constexpr uint16_t kEndpointProxyPort = 8081;
 constexpr milliseconds kSendPeriod{25};
 constexpr milliseconds kPollPeriod{10};
+constexpr milliseconds kVersionProbePeriod{60};
 // Bounds as the platform's pages state them for the milestone's sites.
 constexpr milliseconds kStableWindow{4000};
 constexpr milliseconds kLossSlack{200};
@@ -104,12 +106,25 @@
   std::unique_ptr<PlatformStandinCaller> caller;
 };
 
+// A request on the route that only one version has, sent straight to a host.
+struct VersionProbe {
+  int host = 0;
+  int version = 0;
+  Time sent;
+  std::unique_ptr<PlatformStandinCaller> caller;
+  int status = 0;  // 0: there was no answer.
+  Time ended;
+};
+
 struct SoakHost {
   std::unique_ptr<FaultProxy> store;
   bool is_ending = false;  // It was told to end.
   bool is_frozen = false;
   bool takes_callers = true;
   std::vector<Time> disturbed;  // When its process started or was frozen.
+  std::vector<Time> starts;
+  // When it was told to end, was frozen, or its way to the store was harmed.
+  std::vector<std::pair<Time, Time>> harmed;
 };
 
 class SoakRun {
@@ -119,6 +134,7 @@
         random_(options.seed),
         notice_random_(options.seed),
         home_random_(options.seed),
+        version_random_(options.seed),
         world_(options.network) {
     world_.UseAllZones();
   }
@@ -160,6 +176,11 @@
   Time InEffectFrom(size_t i) const;
   size_t FindVersion(const std::string& region, size_t first, Time at) const;
   void CheckHomes(int host);
+  void SilenceStore();
+  void SendVersionProbes();
+  void TakeVersionProbes();
+  bool IsInTouch(int host, Time at) const;
+  void CheckVersions(int host);
   void Leave();
   SoakEndpoint& EndpointOf(const std::string& id);
   void Evacuate();
@@ -186,12 +207,15 @@
   std::mt19937_64 notice_random_;
   // For home regions; apart for the same reason.
   std::mt19937_64 home_random_;
+  // For what versions look like and for connections that fall silent.
+  std::mt19937_64 version_random_;
   PlatformWorld world_;
   std::unique_ptr<SoakCallers> callers_;
   std::map<std::string, FirstCaller> first_callers_;  // By their request's id.
   std::map<int, SoakHost> hosts_;
   std::vector<SoakEndpoint> endpoints_;
   std::vector<SoakHomes> homes_;  // Of all versions.
+  std::deque<VersionProbe> version_probes_;
   // When the store was down.
   std::vector<std::pair<Time, Time>> outages_;
   std::vector<std::unique_ptr<Watch>> timers_;
@@ -199,12 +223,17 @@
   std::map<std::string, std::unique_ptr<Watch>> crashing_;
   std::unique_ptr<Watch> send_;
   std::unique_ptr<Watch> poll_;
+  std::unique_ptr<Watch> probe_;
   int version_ = 0;
   bool is_healing_ = false;
   int next_probe_ = 0;
   Time started_;
 };
 
+std::string RouteOf(int version) {
+  return "/v" + std::to_string(version) + "/";
+}
+
 std::string RegionOf(const std::string& zone) {
   for (const StandinZone& it : kStandinZones) {
     if (zone == it.zone)
@@ -292,6 +321,7 @@
   Wait(kStableWindow);
   send_ = loop().Every(kSendPeriod, [this] { Send(); });
   poll_ = loop().Every(kPollPeriod, [this] { Poll(); });
+  probe_ = loop().Every(kVersionProbePeriod, [this] { SendVersionProbes(); });
 }
 
 void SoakRun::Send() {
@@ -309,9 +339,11 @@
 
 void SoakRun::Poll() {
   callers_->Take(report_.violations);
+  TakeVersionProbes();
   for (auto& [host, it] : hosts_) {
     if (!it.is_ending && world_.HasExited(host)) {
-      Violate("host " + std::to_string(host) + " ended by itself");
+      Violate("host " + std::to_string(host) + " ended by itself, " +
+              world_.last_exit());
       it.is_ending = true;
     }
   }
@@ -324,11 +356,13 @@
       return;
     }
     callers_->ForgetHost(host);
+    Note("start host " + std::to_string(host));
     world_.StartGateway(host);
     for (int i = 1; i <= kFirstRequests; ++i)
       Later(i * kFirstRequestPeriod, [this, host] { SendFirst(host); });
     hosts_[host].is_ending = false;
     hosts_[host].disturbed.push_back(loop().Now());
+    hosts_[host].starts.push_back(loop().Now());
     // Callers ask the directory, which names hosts that are ready.
     Later(milliseconds(1500), [this, host] {
       hosts_[host].takes_callers = !hosts_[host].is_ending;
@@ -365,6 +399,7 @@
     return;
   Note("stop host " + std::to_string(host));
   it.is_ending = true;
+  it.harmed.push_back({loop().Now(), loop().Now()});
   world_.Signal(host, SIGTERM);
   Later(milliseconds(300),
         [this, host] { hosts_[host].takes_callers = false; });
@@ -389,7 +424,9 @@
   Note("freeze host " + std::to_string(host));
   it.is_frozen = true;
   world_.Signal(host, SIGSTOP);
-  Later(PickTime(200, 2500), [this, host] {
+  const milliseconds time = PickTime(200, 2500);
+  it.harmed.push_back({loop().Now(), loop().Now() + time});
+  Later(time, [this, host] {
     world_.Signal(host, SIGCONT);
     hosts_[host].is_frozen = false;
     hosts_[host].disturbed.push_back(loop().Now());
@@ -404,6 +441,7 @@
 
 void SoakRun::PutHome(const std::string& region) {
   if (home_random_() % 3 == 0) {
+    world_.store().set_stale_lists_name_present_revision(version_random_() % 2);
     world_.store().set_stale_lists(true);
     Later(kStale, [this] { world_.store().set_stale_lists(false); });
   }
@@ -412,7 +450,58 @@
   homes_.push_back({region, loop().Now()});
   for (const char* it : {kReadWithHomes, kChargeWithHomes})
     world_.SetHomes(it, {region});
-  world_.PutConfig(version_, "/v" + std::to_string(version_) + "/");
+  nlohmann::json config = world_.ConfigJson(version_, RouteOf(version_));
+  if (version_random_() % 3 == 0)
+    config["hosts"][0]["paths"].push_back({{"path-prefix", "/odd/"}});
+  world_.store().Put("config", "main", config);
+  if (!IsPlannedOnly() && version_random_() % 4 == 0)
+    SilenceStore();
+}
+
+// The connections of some hosts to the store fall silent; new ones work.
+void SoakRun::SilenceStore() {
+  const uint64_t one_of = 1 + version_random_() % 3;
+  for (auto& [host, it] : hosts_) {
+    if (!it.store || version_random_() % one_of != 0)
+      continue;
+    Note("silence host " + std::to_string(host) + " and the store");
+    it.store->SilenceAll();
+    it.harmed.push_back({loop().Now(), loop().Now()});
+  }
+}
+
+// On the route of the newest version, which may not be in effect yet, and on
+// the one that it has dropped.
+void SoakRun::SendVersionProbes() {
+  const int host = 1 + static_cast<int>(version_random_() % hosts_.size());
+  for (const int version : {version_, version_ - 1}) {
+    if (version < 1)
+      continue;
+    version_probes_.push_back({host,
+                               version,
+                               loop().Now(),
+                               std::make_unique<PlatformStandinCaller>(
+                                   loop(), world_.CallerAddressOf(host)),
+                               0,
+                               {}});
+    version_probes_.back().caller->Send(RequestText(
+        "GET", RouteOf(version) + "1", kProbe + std::to_string(++next_probe_)));
+  }
+}
+
+void SoakRun::TakeVersionProbes() {
+  for (VersionProbe& it : version_probes_) {
+    if (!it.caller)
+      continue;
+    if (!it.caller->answers().empty())
+      it.status = it.caller->answers()[0].head.status;
+    const bool has_ended = it.status != 0 || it.caller->is_closed() ||
+                           loop().Now() - it.sent > kRouteTimeout;
+    if (has_ended) {
+      it.caller.reset();
+      it.ended = loop().Now();
+    }
+  }
 }
 
 void SoakRun::Leave() {
@@ -492,7 +581,9 @@
   proxy->set_mode(kModes[Pick(std::size(kModes))]);
   if (Pick(2) == 0)
     proxy->ResetAll();
-  Later(PickTime(300, 3000), [proxy] { proxy->set_mode(ProxyMode::kPass); });
+  const milliseconds time = PickTime(300, 3000);
+  hosts_[host].harmed.push_back({loop().Now(), loop().Now() + time});
+  Later(time, [proxy] { proxy->set_mode(ProxyMode::kPass); });
 }
 
 void SoakRun::HarmEndpoint() {
@@ -621,8 +712,8 @@
 }
 
 bool SoakRun::AnswersAsConfigured(int host) {
-  const int on_new = StatusOf(host, "/v" + std::to_string(version_) + "/");
-  const int on_old = StatusOf(host, "/v" + std::to_string(version_ - 1) + "/");
+  const int on_new = StatusOf(host, RouteOf(version_));
+  const int on_old = StatusOf(host, RouteOf(version_ - 1));
   if (on_new == kHttpOk && on_old == kHttpNotFound)
     return true;
   Violate("host " + std::to_string(host) + " answers " +
@@ -777,6 +868,59 @@
   return homes_.size();
 }
 
+// Whether the rules with a time limit bind the host.
+bool SoakRun::IsInTouch(int host, Time at) const {
+  const auto is_near = [&](const std::pair<Time, Time>& it) {
+    return it.first <= at && at < it.second + kStableWindow;
+  };
+  const SoakHost& it = hosts_.at(host);
+  return std::none_of(it.harmed.begin(), it.harmed.end(), is_near) &&
+         std::none_of(outages_.begin(), outages_.end(), is_near) &&
+         std::none_of(it.starts.begin(), it.starts.end(), [&](Time start) {
+           return is_near({start, start});
+         });
+}
+
+// A version is in effect in time, and no older one again in the same process.
+void SoakRun::CheckVersions(int host) {
+  int shown = 0;  // Newest version whose route it has served.
+  Time shown_at;
+  Time started;
+  for (const VersionProbe& it : version_probes_) {
+    if (it.host != host || (it.status != kHttpOk && it.status != kHttpNotFound))
+      continue;
+    for (const Time start : hosts_[host].starts) {
+      if (start <= it.sent && start > started) {
+        started = start;
+        shown = 0;
+      }
+    }
+    const auto next = static_cast<size_t>(it.version);
+    const bool is_newest =
+        next >= homes_.size() || it.ended < homes_[next].written;
+    const bool is_served = it.status == kHttpOk;
+    const Time due = is_served && next < homes_.size() ? InEffectFrom(next)
+                                                       : InEffectFrom(next - 1);
+    const bool is_late = (is_served ? next < homes_.size() : is_newest) &&
+                         it.sent > due && IsInTouch(host, it.sent);
+    const bool is_older =
+        shown_at + kRevertSlack < it.sent &&
+        (is_served ? it.version < shown : it.version == shown && is_newest);
+    if (is_late || is_older)
+      Violate("host " + std::to_string(host) + " answers " +
+              std::to_string(it.status) + " on the route of version " +
+              std::to_string(it.version) + " at " +
+              std::to_string(Millis(it.sent - started_)) + " ms, " +
+              (is_late
+                   ? "too late"
+                   : "after it had shown version " + std::to_string(shown)));
+    if (is_served && it.version > shown) {
+      shown = it.version;
+      shown_at = it.ended;
+    }
+  }
+}
+
 // Requests whose routes have homes reach no other region, whatever happens to
 // the host. Its own sends show which version it has; it does not go back, even
 // if it starts again.
@@ -836,6 +980,8 @@
   }
   for (int host = 1; host <= options_.hosts; ++host)
     CheckHomes(host);
+  for (int host = 1; host <= options_.hosts; ++host)
+    CheckVersions(host);
   for (const auto& [path, timer] : crashing_)
     CheckCrashing(path);
   for (const auto& [id, it] : requests) {
@@ -875,6 +1021,7 @@
     CheckCalm();
   }
   send_.reset();
+  probe_.reset();
   Wait(kRouteTimeout + kTimeoutSlack);
   poll_.reset();
   CheckAll();
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -902,8 +902,14 @@
   const pid_t pid = it->second;
   // The event loop may have reaped the process already, so that waitpid()
   // fails.
-  if (waitpid(pid, nullptr, WNOHANG) != pid && kill(pid, 0) == 0)
+  int status = 0;
+  const bool is_reaped = waitpid(pid, &status, WNOHANG) == pid;
+  if (!is_reaped && kill(pid, 0) == 0)
     return false;
+  last_exit_ = !is_reaped ? "unknown"
+               : WIFSIGNALED(status)
+                   ? "signal " + std::to_string(WTERMSIG(status))
+                   : "code " + std::to_string(WEXITSTATUS(status));
   gateways_.erase(it);
   return true;
 }
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -381,6 +381,8 @@
   bool WaitEnd(int index, std::chrono::milliseconds time);
   // Whether the gateway's process has exited. If so, stops tracking it.
   bool HasExited(int index);
+  // The exit code or signal of the process that HasExited() last found ended.
+  const std::string& last_exit() const { return last_exit_; }
 
   // From its next start on, gateway `index` connects to the store at `address`.
   void SetStoreAddress(int index, const Address& address);
@@ -425,6 +427,7 @@
   std::unique_ptr<PlatformStandinStore> store_;
   std::vector<std::unique_ptr<PlatformStandinEndpoint>> endpoints_;
   std::map<int, pid_t> gateways_;
+  std::string last_exit_;
   // Of gateways that do not use StoreAddress().
   std::map<int, Address> store_addresses_;
   std::map<std::string, std::vector<std::string>> homes_;  // By path prefix.
