--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <map>
 #include <set>
 
 #include <nlohmann/json.hpp>
@@ -381,6 +382,145 @@
   }
 }
 
+// Incident 030. All hosts lose power right after a version.
+TEST_P(StaleListsTest, HostsThatStartTogetherServeTheNewestVersion) {
+  StartHosts();
+  SetStaleLists();
+  PutNextVersion();
+  const std::set<int> all = alive_;
+  for (const int it : all)
+    Disable(it, SIGKILL);
+  for (const int it : all) {
+    world_.StartGateway(it);
+    alive_.insert(it);
+  }
+  EXPECT_TRUE(IsInEffectWithin(kStableWindow));
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, DrainingIsHeededInTimeWhenAllRelaysAreKilled) {
+  StartHosts();
+  Json record = endpoints_[0]->Record("rondas", "cuyo-a");
+  record["state"] = "draining";
+  for (const int it : relays_)
+    Disable(it, SIGKILL);
+  world_.store().Put("servers", "i-1", record);
+  Wait(kApplyTime);
+  const int before = endpoints_[0]->arrivals();
+  for (const int it : alive_)
+    EXPECT_EQ(SendReads(it, 30), 30);
+  EXPECT_EQ(endpoints_[0]->arrivals(), before);
+}
+
+// Incident 030.
+TEST_F(ConfigVersionsTest, NewestOfManyVersionsIsInEffectAndNoOlderOneAgain) {
+  constexpr int kVersions = 30;
+  constexpr milliseconds kPeriod{60};
+  StartHosts();
+  const int first = version_;
+  std::map<int, int> shown;  // By host, the newest version that it has served.
+  for (int i = 0; i < kVersions; ++i) {
+    PutNextVersion();
+    if (i == kVersions / 2)
+      Disable(*relays_.begin(), SIGKILL);
+    Wait(kPeriod);
+    for (const int host : alive_) {
+      for (int it = std::max(first, version_ - 4); it <= version_; ++it) {
+        const std::string id = "m" + std::to_string(++requests_);
+        if (StatusAt(host, RequestText("GET", RouteOf(it) + "1", id)) != 200)
+          continue;
+        EXPECT_GE(it, shown[host]) << host;
+        shown[host] = std::max(shown[host], it);
+      }
+    }
+  }
+  EXPECT_TRUE(IsInEffectWithin(kApplyTime));
+}
+
+// Incident 030. On a kept connection, after the version has applied.
+TEST_F(GatewayTest, KeptConnectionFollowsVersionsThatMoveAddAndDropRoutes) {
+  PlatformStandinEndpoint& other = world_.AddEndpoint("bitacora", "cuyo-a");
+  StartOne();
+  Wait(kFirstFollow);
+  const auto caller = Connect();
+  size_t answers = 0;
+  const auto status = [&](const std::string& path) {
+    caller->Send(RequestText("GET", path, "k" + std::to_string(++answers)));
+    return WaitAnswers(*caller, answers) ? caller->answers().back().head.status
+                                         : 0;
+  };
+  EXPECT_EQ(status("/read/inner/1"), 200);
+  EXPECT_EQ(other.arrivals(), 0);
+  Json config = world_.ConfigJson(2, "/read/inner/");
+  Json& paths = config["hosts"][0]["paths"];
+  paths.back()["service"] = "bitacora";  // A route inside of /read/.
+  ASSERT_EQ(paths[1]["path-prefix"], "/charge/");
+  paths.erase(1);
+  config["services"].push_back({{"name", "bitacora"}});
+  world_.store().Put("config", "main", config);
+  Wait(kApplyTime);
+  EXPECT_EQ(status("/read/inner/2"), 200);
+  EXPECT_EQ(other.arrivals(), 1);
+  EXPECT_EQ(status("/read/2"), 200);
+  EXPECT_EQ(other.arrivals(), 1);
+  EXPECT_EQ(status("/charge/2"), 404);
+}
+
+// Incident 030.
+TEST_F(GatewayTest, AddedRouteOfANewServiceIsServed) {
+  StartOne();
+  Wait(kFirstFollow);
+  int version = 1;
+  for (const milliseconds joins :
+       {milliseconds(-500), milliseconds(0), milliseconds(500)}) {
+    SCOPED_TRACE(joins.count());
+    const std::string service = "s" + std::to_string(++version);
+    const std::string prefix = "/" + service + "/";
+    if (joins < milliseconds(0)) {
+      world_.AddEndpoint(service);
+      Wait(-joins);
+    }
+    Json config = world_.ConfigJson(version, prefix);
+    config["hosts"][0]["paths"].back()["service"] = service;
+    config["services"].push_back({{"name", service}});
+    world_.store().Put("config", "main", config);
+    Wait(joins);
+    if (joins >= milliseconds(0))
+      world_.AddEndpoint(service);
+    EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+      return Status(RequestText("GET", prefix + "1", "j" + prefix)) == 200;
+    }));
+  }
+}
+
+// Incident 030.
+TEST_F(GatewayTest, PartsOfASplitGetTheSharesOfTheNewestVersion) {
+  constexpr int kRequests = 300;
+  constexpr double kMaxShareError = 0.1;
+  PlatformStandinEndpoint& other = world_.AddEndpoint("bitacora", "cuyo-a");
+  StartOne();
+  Wait(kFirstFollow);
+  int version = 1;
+  int requests = 0;
+  for (const double share : {0.3, 0.9, 0.0, 0.5}) {
+    SCOPED_TRACE(share);
+    Json config = world_.ConfigJson(++version, "");
+    config["services"].push_back({{"name", "bitacora"}});
+    config["hosts"][0]["paths"][0]["traffic-split"] =
+        Json::array({{{"service", "rondas"}, {"weight", 1 - share}},
+                     {{"service", "bitacora"}, {"weight", share}}});
+    world_.store().Put("config", "main", config);
+    Wait(kApplyTime);
+    const int before = other.arrivals();
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string id = "w" + std::to_string(++requests);
+      EXPECT_EQ(Status(RequestText("GET", "/read/" + id, id)), 200);
+    }
+    EXPECT_NEAR(static_cast<double>(other.arrivals() - before) / kRequests,
+                share, kMaxShareError);
+  }
+}
+
 struct UnreadableCase {
   const char* name;
   // Changes the configuration; its route /download/ is at the index kChanged.
