Use no endpoint whose record cannot be read any more

What callers saw: requests at an endpoint whose record had been overwritten by one that cannot be read; 10 of 20 reached it.

A record that could not be read was ignored, so that the last readable one stayed in force. It is taken for a removal now.

EndpointWhoseRecordBecomesUnreadableGetsNoRequests failed before (10 of 20, x86_64) and holds.

--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -368,10 +368,13 @@
         ApplyChanges(ApplyRecord(state_.endpoints, record, now));
         return {};
       },
-      [](const Error& e) {
+      [&](const Error& e) {
         LogLine(LogLevel::kWarning, "endpoints",
                 "Ignored a malformed endpoint record.")
             .With("reason", e.ToString());
+        // An earlier record of this endpoint no longer holds either.
+        ApplyChanges(
+            ApplyRemoval(state_.endpoints, EndpointId(item.name), now));
       });
 }
 
--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -521,6 +521,31 @@
   }
 }
 
+// Incident 030. Such a record names no endpoint to use.
+TEST_F(GatewayTest, EndpointWhoseRecordBecomesUnreadableGetsNoRequests) {
+  StartOne(2);
+  Wait(kFirstFollow);
+  const auto reach = [&](const std::string& phase) {
+    const int before = endpoints_[0]->arrivals();
+    for (int i = 0; i < 20; ++i) {
+      const std::string id = phase + std::to_string(i);
+      EXPECT_EQ(Status(RequestText("GET", "/read/" + id, id,
+                                   "Cookie: Affinity-Key=" + id + "\r\n")),
+                200);
+    }
+    return endpoints_[0]->arrivals() - before;
+  };
+  EXPECT_GT(reach("a"), 0);
+  Json record = endpoints_[0]->Record("rondas", "cuyo-a");
+  record["state"] = 5;
+  world_.store().Put("servers", "i-1", record);
+  Wait(kApplyTime);
+  EXPECT_EQ(reach("b"), 0);
+  world_.Register(*endpoints_[0], "rondas");
+  Wait(kApplyTime);
+  EXPECT_GT(reach("c"), 0);
+}
+
 struct UnreadableCase {
   const char* name;
   // Changes the configuration; its route /download/ is at the index kChanged.
