--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -556,8 +556,8 @@
 constexpr size_t kChanged = 3;
 
 std::vector<UnreadableCase> UnreadableCases() {
-  const auto set = [](const char* field, Json value) {
-    return [=](Json&, Json& route) { route[field] = value; };
+  const auto set = [](const char* field, const Json& value) {
+    return [field, value](Json&, Json& route) { route[field] = value; };
   };
   return {
       {"unknown field", set("colour", {{"r", 1}}), 200},
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -231,6 +231,18 @@
   }
 }
 
+// Incident 030.
+TEST(PlatformObjectsTest, RejectsVersionsWithoutAnyHostThatCanBeRead) {
+  for (const char* it :
+       {R"({"version":"r8"})", R"({"version":"r8","hosts":5})",
+        R"({"version":"r8","hosts":[5]})", R"({"version":"r8","hosts":[{}]})",
+        R"({"version":"r8","hosts":[{"host":"h","paths":7}]})"}) {
+    std::string error;
+    DecodeConfigText(it, error);
+    EXPECT_NE(error.find("hosts"), std::string::npos) << it;
+  }
+}
+
 // Overwrites three random bytes of a configuration. Decoding must return a
 // result or an error and must not crash or throw.
 TEST(PlatformObjectsTest, AcceptsOrRejectsCorruptedObjects) {
