--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -31,6 +31,8 @@
 
   // A connection that has lost bytes stays silent in that direction for good.
   void set_mode(ProxyMode mode) { mode_ = mode; }
+  // How late everything arrives with kDelay, in each direction.
+  void set_delay(Duration delay) { delay_ = delay; }
   // Ends all connections that are open now.
   void ResetAll();
   // Nothing more arrives on the connections that are open now; new ones work.
@@ -40,6 +42,7 @@
   struct Side {
     std::shared_ptr<Stream> stream;
     bool is_lossy = false;  // What it receives is dropped.
+    Time due;               // When the last piece that it sent late arrives.
   };
   struct Link {
     Side user;    // The end that connected to the proxy.
@@ -61,6 +64,7 @@
   std::unique_ptr<Watch> accept_;
   std::shared_ptr<Links> links_ = std::make_shared<Links>();
   ProxyMode mode_ = ProxyMode::kPass;
+  Duration delay_ = std::chrono::milliseconds(120);
 };
 
 }  // namespace sassafras
