--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -52,8 +52,10 @@
 };
 
 enum class ListFreshness {
-  kCurrent,     // All that was written before the call.
-  kMayBeStale,  // May be seconds old; cheaper, if the store has replicas.
+  kCurrent,  // All that was written before the call.
+  // May be seconds old; cheaper, if the store has replicas. Its `as_of` is the
+  // revision of the newest object on its oldest page.
+  kMayBeStale,
 };
 
 struct StoreList {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -32,9 +32,10 @@
 
 // Where this host's state comes from, for its metrics and state dump.
 struct StateSource {
-  std::string feed = "none";             // A name of FeedSource.
-  std::vector<HostId> relays;            // That this host follows.
-  std::vector<CachePosition> positions;  // Of its cache, by kind of object.
+  std::string feed = "none";   // A name of FeedSource.
+  std::vector<HostId> relays;  // That this host follows.
+  // The revision up to which its cache includes all changes, by kind of object.
+  std::vector<CachePosition> positions;
 };
 
 struct GatewayState {
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -166,8 +166,7 @@
     Push(it.to, it.push);
 }
 
-// A list whose position is later than that of its newest object may lack the
-// changes in between, if it came from a lagging replica.
+// `newest_revision` is what the objects themselves show of the list's position.
 void StoreCacheFeed::LogList(const std::string& kind,
                              const StoreChange& list,
                              uint64_t before,
--- a/src/routing/home_regions.h
+++ b/src/routing/home_regions.h
@@ -22,6 +22,7 @@
 // Removes from `homes` what `other` does not allow.
 void Restrict(HomeRegions& homes, const HomeRegions& other);
 
+// No region if the route is unreadable.
 HomeRegions HomesOfRoute(const RequestRoute& route);
 
 // Homes of a request: those that the routes of its path (without query) and of
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -26,7 +26,8 @@
 // other turns out to be silent or cut off from the store.
 inline constexpr size_t kMaxExtraRelays = 4;
 // A relay that has sent no news of a reachable store for this long is dropped.
-// Covers three of its messages.
+// Covers three of its messages. A host whose relays all had their last answer
+// of the store longer ago follows the store itself.
 inline constexpr Duration kRelayTimeout = std::chrono::milliseconds(1300);
 // A relay that was dropped is not followed again for this long.
 inline constexpr Duration kRelayAvoidanceTime = std::chrono::seconds(4);
@@ -50,7 +51,8 @@
 struct FollowedRelay {
   // When it last sent a message while the store answered it, or was chosen.
   Time heard;
-  // When the store last answered it, by its messages, or when it was chosen.
+  // When the store last answered the relay, by its messages, or when the relay
+  // was chosen.
   Time store_answered;
   // Until then the relay cannot distinguish lapsed records from removed ones.
   // Empty until it has sent a message.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -29,9 +29,9 @@
 
   // Reports the changes of a kind after revision `from`, until the returned
   // Watch is destroyed. Reports the complete list first if `from` is zero or
-  // the store has no changes that old; it may do so again after an
-  // interruption. Also reports, at once and at least every few seconds, that
-  // nothing has changed. All that is reported is current.
+  // the store has no changes that old; it may do so in other cases too, as
+  // after an interruption. Also reports, at once and at least every few
+  // seconds, that nothing has changed. All that is reported is current.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
       uint64_t from,
--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -36,15 +36,15 @@
 
 class ConfigVersionsTest : public GatewayTest {
  protected:
-  // Starts the hosts, each with its own way to the store.
+  // Starts the hosts, each with a proxy of its own before the store.
   void StartHosts(int hosts = kHosts) {
     PutNextVersion();
     endpoints_.push_back(&world_.AddEndpoint("rondas", "cuyo-a"));
     endpoints_.push_back(&world_.AddEndpoint("rondas", "pampa-a"));
     for (int i = 1; i <= hosts; ++i) {
       const Address listen = world_.HostAddress(i, kProxyPort);
-      ways_.push_back(std::make_unique<FaultProxy>(world_.loop(), listen,
-                                                   world_.StoreAddress()));
+      store_proxies_.push_back(std::make_unique<FaultProxy>(
+          world_.loop(), listen, world_.StoreAddress()));
       world_.SetStoreAddress(i, listen);
       world_.StartGateway(i);
       alive_.insert(i);
@@ -67,8 +67,8 @@
     }));
   }
 
-  FaultProxy& WayToStore(int host) {
-    return *ways_[static_cast<size_t>(host - 1)];
+  FaultProxy& StoreProxyOf(int host) {
+    return *store_proxies_[static_cast<size_t>(host - 1)];
   }
 
   // Ends the run of a host, or suspends it.
@@ -165,7 +165,7 @@
     world_.store().Put("servers", "i-1", record);
   }
 
-  std::vector<std::unique_ptr<FaultProxy>> ways_;
+  std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
   std::set<int> alive_;
   std::set<int> relays_;  // Hosts that followed the store when all had settled.
   int version_ = 0;
@@ -267,15 +267,15 @@
        {ProxyMode::kSilent, ProxyMode::kCutBackward, ProxyMode::kRefuse}) {
     SCOPED_TRACE(static_cast<int>(mode));
     for (const int it : relays_) {
-      WayToStore(it).set_mode(mode);
+      StoreProxyOf(it).set_mode(mode);
       if (mode == ProxyMode::kRefuse)
-        WayToStore(it).ResetAll();
+        StoreProxyOf(it).ResetAll();
       alive_.erase(it);  // Not judged while they are cut off.
     }
     PutNextVersion();
     EXPECT_TRUE(IsInEffectWithin(kApplyTime));
     for (const int it : relays_) {
-      WayToStore(it).set_mode(ProxyMode::kPass);
+      StoreProxyOf(it).set_mode(ProxyMode::kPass);
       alive_.insert(it);
     }
     EXPECT_TRUE(IsInEffectWithin(kStableWindow));
@@ -313,11 +313,11 @@
        {milliseconds(300), milliseconds(1000), milliseconds(1700),
         milliseconds(2400), milliseconds(4000), milliseconds(7000)}) {
     SCOPED_TRACE(lost.count());
-    for (const auto& it : ways_)
+    for (const auto& it : store_proxies_)
       it->set_mode(ProxyMode::kCutBackward);
     Wait(lost);
     PutNextVersion();
-    for (const auto& it : ways_)
+    for (const auto& it : store_proxies_)
       it->set_mode(ProxyMode::kPass);
     EXPECT_TRUE(IsInEffectWithin(kStableWindow));
     Wait(seconds(2));
@@ -351,13 +351,13 @@
   for (const milliseconds delay :
        {milliseconds(200), milliseconds(500), milliseconds(1500)}) {
     SCOPED_TRACE(delay.count());
-    for (const auto& it : ways_) {
+    for (const auto& it : store_proxies_) {
       it->set_delay(delay);
       it->set_mode(ProxyMode::kDelay);
     }
     Wait(kSlowTime);
     PutNextVersion();
-    for (const auto& it : ways_)
+    for (const auto& it : store_proxies_)
       it->set_mode(ProxyMode::kPass);
     EXPECT_TRUE(IsInEffectWithin(kStableWindow));
     Wait(seconds(2));
@@ -369,7 +369,7 @@
   constexpr seconds kEvacuationTime{5};  // As the documentation states it.
   StartHosts();
   for (const int it : relays_) {
-    WayToStore(it).set_mode(ProxyMode::kSilent);
+    StoreProxyOf(it).set_mode(ProxyMode::kSilent);
     alive_.erase(it);  // Not judged while they are cut off.
   }
   world_.store().Put("evacuations", "cuyo-a", Json::object());
@@ -386,7 +386,7 @@
   for (int round = 0; round < kRounds; ++round) {
     SCOPED_TRACE(round);
     Wait(round * kStep);
-    for (const auto& it : ways_)
+    for (const auto& it : store_proxies_)
       it->SilenceAll();
     PutNextVersion();
     EXPECT_TRUE(IsInEffectWithin(kStableWindow));
@@ -401,10 +401,10 @@
        {milliseconds(600), milliseconds(1000), milliseconds(2200),
         milliseconds(3400), milliseconds(4200), milliseconds(6600)}) {
     SCOPED_TRACE(lost.count());
-    WayToStore(1).set_mode(ProxyMode::kCutBackward);
+    StoreProxyOf(1).set_mode(ProxyMode::kCutBackward);
     Wait(lost);
     PutNextVersion();
-    WayToStore(1).set_mode(ProxyMode::kPass);
+    StoreProxyOf(1).set_mode(ProxyMode::kPass);
     EXPECT_TRUE(IsInEffectWithin(kStableWindow));
     Wait(seconds(2));
   }
