Escape names of objects in calls to the store

Callers: with an entry of another writer among the endpoints whose name holds &, +, #, % or a blank, and a list of several pages, hosts that start answer nearly all requests 503 or do not become ready.

Cause: the name of a page's last object is put into the query of the next call as it is. The store decodes it to another name. The list then repeats a page without end, skips pages, or ends early and is taken for whole. Names in paths (reads and writes of one object) had the same fault.

Tests: a stand-in of the store writes such names, for each kind that hosts read, on pages of one to three objects; hosts start, follow, read the list again after dropped history.

--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -105,6 +105,16 @@
   return transfer;
 }
 
+std::string EscapeForUrl(const std::string& text) {
+  // libcurl takes a length of zero for that of a C string.
+  if (text.empty())
+    return {};
+  const std::unique_ptr<char, decltype(&curl_free)> escaped(
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
+      &curl_free);
+  return escaped ? std::string(escaped.get()) : std::string();
+}
+
 CurlDriver::CurlDriver(Loop& loop, long max_connections)
     : loop_(loop),
       multi_(curl_multi_init()),
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -48,6 +48,9 @@
 
 std::shared_ptr<HttpTransfer> MakeHttpTransfer(const std::string& url);
 
+// Escapes `text` for use as one segment of a path or one value of a query.
+std::string EscapeForUrl(const std::string& text);
+
 // Runs HTTP transfers on the event loop.
 class CurlDriver {
  public:
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -151,7 +151,7 @@
         timeout_(timeout) {}
 
   void Get(const StoreGet& get, Done done) override {
-    Read(get.kind + "/" + get.name, timeout_, std::move(done));
+    Read(get.kind + "/" + EscapeForUrl(get.name), timeout_, std::move(done));
   }
 
   void List(const StoreList& list, Done done) override {
@@ -160,7 +160,8 @@
   }
 
   void PutIf(const StorePut& put, Done done) override {
-    auto transfer = MakeHttpTransfer(base_url_ + put.kind + "/" + put.name);
+    auto transfer =
+        MakeHttpTransfer(base_url_ + put.kind + "/" + EscapeForUrl(put.name));
     Json body = {
         {"kind", put.kind},
         {"metadata",
--- /dev/null
+++ b/tests/gateway/entry_names_test.cc
@@ -0,0 +1,194 @@
+// Store entries whose names hold characters with a meaning in URLs, headers,
+// JSON or log lines, or that cannot be read, tested with gateway processes.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/gateway_fixture.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Json = nlohmann::json;
+
+// The shortest limit for a change that the platform's documentation states for
+// any deployment.
+constexpr milliseconds kApplyTime{2000};
+constexpr const char* kKinds[] = {"servers", "evacuations", "config",
+                                  "steering-hosts"};
+
+// Sort before, between and after the stand-ins' own names.
+std::vector<std::string> OddNames() {
+  std::vector<std::string> names = {"!", "~", "\x7f", "i-1 ", " i-1"};
+  for (const char* it :
+       {" ",        "+",    "&",  "#",    "%",           "?",
+        "=",        "/",    "\"", "\\",   "\n",          ";",
+        ":",        "\t",   "\r", "%25",  "%2F",         "&after=z",
+        "\x01",     ",",    "<",  "'",    "{",           "$",
+        "\xc3\xa9", "\xff", "..", "/../", "&stale-ok=0", "\r\nX-Added: 1"}) {
+    names.push_back("a" + std::string(it) + "b");
+    names.push_back("i-1" + std::string(it));
+    names.push_back("z" + std::string(it));
+  }
+  names.push_back("i-1" + std::string(2000, 'x'));
+  return names;
+}
+
+class EntryNamesTest : public GatewayTest {
+ protected:
+  void PutAll(const std::vector<std::string>& names, const Json& value) {
+    for (const char* kind : kKinds) {
+      for (const std::string& it : names)
+        world_.store().Put(kind, it, value);
+    }
+  }
+
+  void DeleteAll(const std::vector<std::string>& names) {
+    for (const char* kind : kKinds) {
+      for (const std::string& it : names)
+        world_.store().Delete(kind, it);
+    }
+  }
+
+  void AddEndpoints(int n) {
+    for (int i = 0; i < n; ++i)
+      endpoints_.push_back(&world_.AddEndpoint("rondas"));
+  }
+
+  void StartHosts(int n) {
+    for (int i = 1; i <= n; ++i)
+      world_.StartGateway(i);
+    for (int i = 1; i <= n; ++i)
+      ASSERT_TRUE(world_.WaitReady(i));
+  }
+
+  void KillHosts(int n) {
+    for (int i = 1; i <= n; ++i) {
+      world_.Signal(i, SIGKILL);
+      ASSERT_TRUE(world_.WaitEnd(i, seconds(2)));
+    }
+  }
+
+  // Sends requests for several objects to `host`. Returns the number of
+  // endpoints that ran one; each request must be answered 200.
+  size_t CountReached(int host) {
+    std::set<size_t> reached;
+    for (int i = 0; i < 25; ++i) {
+      std::vector<size_t> before;
+      for (const PlatformStandinEndpoint* it : endpoints_)
+        before.push_back(it->runs().size());
+      const std::string id = "c" + std::to_string(++requests_);
+      EXPECT_EQ(
+          StatusAt(host, RequestText("GET", "/read/" + id, id,
+                                     "Cookie: Affinity-Key=" + id + "\r\n")),
+          200);
+      for (size_t k = 0; k < endpoints_.size(); ++k) {
+        if (endpoints_[k]->runs().size() > before[k])
+          reached.insert(k);
+      }
+    }
+    return reached.size();
+  }
+
+  bool AllReachedWithin(milliseconds time, int host) {
+    return world_.Eventually(
+        time, [&] { return CountReached(host) == endpoints_.size(); });
+  }
+
+  std::string LogOf(int host) const {
+    std::ostringstream os;
+    os << std::ifstream(world_.LogPathOf(host)).rdbuf();
+    return os.str();
+  }
+
+  int requests_ = 0;
+};
+
+// Incident 031. All processes start while such entries stand.
+TEST_F(EntryNamesTest, ListsGoOnAfterAnyName) {
+  constexpr int kHosts = 3;
+  for (const size_t page_size : {1, 3}) {
+    SCOPED_TRACE(page_size);
+    world_.store().set_page_size(page_size);
+    PutAll(OddNames(), Json{{"service", 5}});
+    if (endpoints_.empty())
+      AddEndpoints(3);
+    world_.PutConfig(static_cast<int>(page_size));
+    StartHosts(kHosts);
+    for (int i = 1; i <= kHosts; ++i)
+      EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+    KillHosts(kHosts);
+  }
+}
+
+// Incident 031. With a name for each character, one at a time.
+TEST_F(EntryNamesTest, EachNameAloneDoesNotStopAHostThatStarts) {
+  world_.store().set_page_size(2);
+  AddEndpoints(2);
+  world_.PutConfig(1);
+  for (const char* it : {"i-1 ", "i-1+", "i-1&", "i-1#", "i-1%", "i-1%25"}) {
+    SCOPED_TRACE(it);
+    // The last one on the first page.
+    world_.store().Put("servers", it, Json{{"service", 5}});
+    world_.StartGateway(1);
+    EXPECT_TRUE(world_.WaitReady(1));
+    EXPECT_EQ(
+        StatusAt(1, RequestText("GET", "/read/1", std::string("e") + it[3])),
+        200);
+    KillHosts(1);
+    world_.store().Delete("servers", it);
+  }
+}
+
+// Incident 031.
+TEST_F(EntryNamesTest, HostsThatFollowSeeWhatStandsBehindSuchEntries) {
+  constexpr int kHosts = 4;
+  world_.store().set_page_size(2);
+  AddEndpoints(2);
+  world_.PutConfig(1);
+  StartHosts(kHosts);
+  // The names appear, change and go.
+  PutAll(OddNames(), Json{{"service", 5}});
+  PutAll(OddNames(), Json{{"service", "rondas"}});
+  AddEndpoints(1);
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, kHosts));
+  // All followers of the store read the list again.
+  world_.store().DropWatchEvents();
+  AddEndpoints(1);
+  world_.store().DropHistory();
+  EXPECT_TRUE(AllReachedWithin(kApplyTime * 2, 1));
+  EXPECT_TRUE(AllReachedWithin(kApplyTime * 2, kHosts));
+  DeleteAll(OddNames());
+  AddEndpoints(1);
+  for (int i = 1; i <= kHosts; ++i) {
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+    EXPECT_FALSE(world_.HasExited(i));
+  }
+}
+
+// Incident 031.
+TEST_F(EntryNamesTest, EvacuationBehindSuchEntriesHoldsFromTheStart) {
+  world_.store().set_page_size(2);
+  PutAll(OddNames(), Json::object());
+  AddEndpoints(1);
+  PlatformStandinEndpoint& evacuated =
+      world_.AddEndpoint("rondas", kStandinZones[1].zone);
+  world_.store().Put("evacuations", kStandinZones[1].zone, Json::object());
+  world_.PutConfig(1);
+  StartHosts(1);
+  EXPECT_EQ(CountReached(1), 1U);
+  EXPECT_EQ(evacuated.arrivals(), 0);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -56,6 +56,15 @@
   return out + "\r\n";
 }
 
+bool IsUtf8(const std::string& text) {
+  try {
+    Json(text).dump();
+    return true;
+  } catch (const Json::type_error&) {
+    return false;
+  }
+}
+
 }  // namespace
 
 PlatformStandinStore::PlatformStandinStore(Loop& loop, const Address& listen)
@@ -68,13 +77,15 @@
 }
 
 Json PlatformStandinStore::ObjectJson(const std::string& name,
-                                      const Object& object) {
-  return Json{{"metadata",
-               {{"name", name},
-                {"revision", object.revision},
-                {"created", 1},
-                {"finalizers", Json::array()},
-                {"deleting", false}}},
+                                      const Object& object) const {
+  Json metadata = {{"revision", object.revision},
+                   {"created", 1},
+                   {"finalizers", Json::array()},
+                   {"deleting", false}};
+  const auto raw = raw_names_.find(name);
+  if (nameless_.count(name) == 0)
+    metadata["name"] = raw == raw_names_.end() ? name : raw->second;
+  return Json{{"metadata", metadata},
               {"specification", object.specification},
               {"status", nullptr}};
 }
@@ -100,6 +111,8 @@
 void PlatformStandinStore::Put(const std::string& kind,
                                const std::string& name,
                                const Json& specification) {
+  if (!IsUtf8(name) && raw_names_.count(name) == 0)
+    raw_names_[name] = AddRawText('"' + name + '"');
   kinds_[kind][name] = {++revision_, specification};
   PublishEvent(kind, name, false);
 }
@@ -107,8 +120,20 @@
 void PlatformStandinStore::PutRawText(const std::string& kind,
                                       const std::string& name,
                                       const std::string& text) {
-  Put(kind, name, kRawTextPlaceholder + std::to_string(raw_texts_.size()));
+  Put(kind, name, AddRawText(text));
+}
+
+void PlatformStandinStore::PutNameless(const std::string& kind,
+                                       const std::string& name,
+                                       const Json& specification) {
+  nameless_.insert(name);
+  Put(kind, name, specification);
+}
+
+// Returns a string that Dump() replaces by `text`.
+std::string PlatformStandinStore::AddRawText(const std::string& text) {
   raw_texts_.push_back(text);
+  return kRawTextPlaceholder + std::to_string(raw_texts_.size() - 1);
 }
 
 std::string PlatformStandinStore::Dump(const Json& body) const {
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,11 @@
                   const std::string& name,
                   const std::string& text);
 
+  // Like Put(), but lists and watches show the object without a name.
+  void PutNameless(const std::string& kind,
+                   const std::string& name,
+                   const nlohmann::json& specification);
+
   // The watches that wait now receive no further events. They are answered at
   // their timeout, with the revision at which they started.
   void DropWatchEvents();
@@ -100,14 +106,19 @@
                     bool deleted);
   std::string Dump(const nlohmann::json& body) const;
   bool TryAnswerWatch(PendingWatch& watch);
-  static nlohmann::json ObjectJson(const std::string& name,
-                                   const Object& object);
+  std::string AddRawText(const std::string& text);
+  nlohmann::json ObjectJson(const std::string& name,
+                            const Object& object) const;
 
   Loop& loop_;
   std::unique_ptr<HttpServer> server_;
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::deque<Event> events_;
-  std::vector<std::string> raw_texts_;  // From PutRawText().
+  // Texts that replace the placeholders of AddRawText().
+  std::vector<std::string> raw_texts_;
+  // Placeholders of the names that are not valid UTF-8.
+  std::map<std::string, std::string> raw_names_;
+  std::set<std::string> nameless_;  // From PutNameless().
   uint64_t revision_ = 1;
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
