Read lists past nameless entries, and use lists that cannot go on

Callers: one entry without a readable name, last on its page, or one whose text breaks the syntax of the page, and no host that starts becomes ready; hosts that read the list again keep asking for it. A page with names that lead no further was taken for the end of a whole list, which removed the endpoints behind it.

Cause: the name of a page's last object, or the syntax of the whole page, was needed to read any of it; and a list ended where it could not be continued. A part of a list was the same as a list.

Change: routing/list_reading decides how a list goes on: after the last name on the page that can be read, and never twice after the same one. A list that cannot go on is partial: its objects are used, and it shows nothing about others. The cache, its spans to other hosts and their positions carry that over; a host with a partial list gets the rest from one that has it, and reads the list again later. Pages and events are read up to the first syntax error; the rest follows by the next page, or by a list.

--- a/src/base/lenient_json.cc
+++ b/src/base/lenient_json.cc
@@ -2,6 +2,7 @@
 
 #include <yajl/yajl_parse.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -78,6 +79,8 @@
     Add(std::move(value));
   }
 
+  size_t open_containers() const { return open_.size() + skipped_depth_; }
+
   LenientJson TakeResult() { return {std::move(root_), dropped_}; }
 
  private:
@@ -146,17 +149,33 @@
     },
 };
 
+// Returns whether the syntax of all of `text` is valid.
+bool Parse(std::string_view text, Builder& builder) {
+  const std::unique_ptr<yajl_handle_t, decltype(&yajl_free)> parser(
+      yajl_alloc(&kCallbacks, nullptr, &builder), &yajl_free);
+  yajl_config(parser.get(), yajl_dont_validate_strings, 1);
+  return yajl_parse(parser.get(),
+                    reinterpret_cast<const unsigned char*>(text.data()),
+                    text.size()) == yajl_status_ok &&
+         yajl_complete_parse(parser.get()) == yajl_status_ok;
+}
+
 }  // namespace
 
+LenientJsonPrefix ParseLenientJsonPrefix(std::string_view text) {
+  Builder builder;
+  const bool is_valid = Parse(text, builder);
+  const size_t open =
+      is_valid ? 0 : std::max<size_t>(builder.open_containers(), 1);
+  while (builder.open_containers() > 0)
+    builder.EndContainer();
+  LenientJson result = builder.TakeResult();
+  return {std::move(result.value), result.dropped, open};
+}
+
 std::optional<LenientJson> ParseLenientJson(std::string_view text) {
   Builder builder;
-  const std::unique_ptr<yajl_handle_t, decltype(&yajl_free)> parser(
-      yajl_alloc(&kCallbacks, nullptr, &builder), &yajl_free);
-  yajl_config(parser.get(), yajl_dont_validate_strings, 1);
-  if (yajl_parse(parser.get(),
-                 reinterpret_cast<const unsigned char*>(text.data()),
-                 text.size()) != yajl_status_ok ||
-      yajl_complete_parse(parser.get()) != yajl_status_ok)
+  if (!Parse(text, builder))
     return std::nullopt;
   return builder.TakeResult();
 }
--- a/src/base/lenient_json.h
+++ b/src/base/lenient_json.h
@@ -24,6 +24,18 @@
   size_t dropped = 0;
 };
 
+struct LenientJsonPrefix {
+  nlohmann::json value;
+  size_t dropped = 0;  // See LenientJson.
+  // Containers that were open where the syntax became invalid, the outermost
+  // one included; zero if all of the text is valid.
+  size_t open_containers = 0;
+};
+
+// As ParseLenientJson(), but reads text with invalid syntax up to the first
+// error. Containers that are open there hold what was read of them.
+LenientJsonPrefix ParseLenientJsonPrefix(std::string_view text);
+
 // Parses JSON; nullopt if the syntax is invalid. Strings that are not valid
 // UTF-8 are kept unchanged.
 std::optional<LenientJson> ParseLenientJson(std::string_view text);
--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -195,7 +195,22 @@
                                    revision,
                                    removed,
                                    value)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CacheSpan, kind, from, as_of, is_list, names)
+inline void to_json(Json& json, const CacheSpan& span) {
+  json = {{"kind", span.kind},   {"from", span.from},
+          {"as_of", span.as_of}, {"is_list", span.is_list},
+          {"names", span.names}, {"is_partial", span.is_partial}};
+}
+
+inline void from_json(const Json& json, CacheSpan& span) {
+  json.at("kind").get_to(span.kind);
+  json.at("from").get_to(span.from);
+  json.at("as_of").get_to(span.as_of);
+  json.at("is_list").get_to(span.is_list);
+  json.at("names").get_to(span.names);
+  // Relays of earlier versions have whole lists only.
+  span.is_partial = json.value("is_partial", false);
+}
+
 inline void to_json(Json& json, const CachePush& push) {
   json = {{"doubt_ms", push.doubt_ms},
           {"store_age_ms", push.store_age_ms},
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -366,6 +366,8 @@
   // removed.
   bool is_list = false;
   std::vector<std::string> names;
+  // The sender may not know all objects; never set together with `is_list`.
+  bool is_partial = false;
 };
 
 // Of CachePush::state_age_ms; longer than any process runs.
--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -79,6 +79,9 @@
   std::vector<StoreObject> objects;
   bool complete = false;
   uint64_t as_of = 0;  // The store revision up to which changes are included.
+  // The objects of a list that could not be read to its end, so that others may
+  // exist. Never set together with `complete`.
+  bool is_partial_list = false;
 };
 
 struct StoreReply {
@@ -87,12 +90,9 @@
   std::vector<StoreObject> objects;
   // For a list: the store revision that it reflects; zero if unknown.
   uint64_t as_of = 0;
-  // For a list: more objects follow after the last one. Never set in the
-  // result of Store::List().
-  bool has_more = false;
-  // For a list: the name of the last object, even if that one could not be
-  // parsed.
-  std::string last_name;
+  // For a list: it could not be read to its end, so that other objects may
+  // exist.
+  bool is_partial = false;
 };
 
 // Converts a store object of `kind` to a document; empty if it is malformed.
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -134,14 +134,23 @@
     store_->List({kind, {}, FreshnessOfFirstList(kind)},
                  [this, name = kind](const StoreReply& reply) {
                    OnCallEnded(reply.status);
-                   if (reply.status != StoreStatus::kOk ||
-                       reply.as_of <= table_.kinds[name].as_of)
-                     return;
-                   OnStoreChange(name, {reply.objects, true, reply.as_of});
+                   if (reply.status == StoreStatus::kOk)
+                     OnFirstList(name, reply);
                  });
   }
 }
 
+void StoreCacheFeed::OnFirstList(const std::string& kind,
+                                 const StoreReply& list) {
+  const uint64_t known = table_.kinds[kind].as_of;
+  // The objects of a partial list give the host no position: others may know
+  // the whole list and send it.
+  if (list.is_partial && known == 0)
+    OnStoreChange(kind, {list.objects, false, 0, true});
+  else if (!list.is_partial && list.as_of > known)
+    OnStoreChange(kind, {list.objects, true, list.as_of});
+}
+
 // A host sends by its first configuration and evacuations, which must not be
 // older than its start. Endpoint records may have many pages; what the list
 // lacks is delivered by the feed's source.
@@ -156,7 +165,7 @@
   OnCallEnded(StoreStatus::kOk);
   const uint64_t before = table_.kinds[kind].as_of;
   const auto new_items = ApplyStoreChange(table_, kind, change);
-  if (change.complete)
+  if (change.complete || change.is_partial_list)
     LogList(kind, change, before, new_items.size());
   ApplyItems(new_items, "store");
   if (new_items.empty() || !IsComplete(table_))
@@ -176,6 +185,7 @@
     newest = std::max(newest, it.revision);
   LogLine(LogLevel::kInfo, "beliefs", "Read a list from the store.")
       .With("kind", kind)
+      .With("is_partial", list.is_partial_list)
       .With("as_of", list.as_of)
       .With("newest_revision", newest)
       .With("before", before)
@@ -195,8 +205,9 @@
 void StoreCacheFeed::FollowStore() {
   followed_at_.clear();
   for (const auto& [kind, known] : table_.kinds) {
+    const uint64_t from = known.is_partial ? 0 : known.as_of;
     store_watches_.push_back(store_->Follow(
-        kind, known.as_of, [this, name = kind](const StoreChange& change) {
+        kind, from, [this, name = kind](const StoreChange& change) {
           OnStoreChange(name, change);
           OnFollowed(name);
         }));
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -44,6 +44,7 @@
 
  private:
   void ReadFirstLists();
+  void OnFirstList(const std::string& kind, const StoreReply& list);
   ListFreshness FreshnessOfFirstList(const std::string& kind) const;
   void OnStoreChange(const std::string& kind, const StoreChange& change);
   void OnCallEnded(StoreStatus status);
--- /dev/null
+++ b/src/routing/list_reading.cc
@@ -0,0 +1,49 @@
+#include "routing/list_reading.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace sassafras {
+
+namespace {
+
+// The revision up to which the page certainly includes all changes. A page
+// that may be stale may name the store's present revision, which its content
+// may not have; but it is as new as its newest object.
+uint64_t PositionOf(const ListPage& page, ListFreshness freshness) {
+  if (freshness == ListFreshness::kCurrent && page.as_of > 0)
+    return page.as_of;
+  uint64_t newest = 0;
+  for (const StoreObject& it : page.objects)
+    newest = std::max(newest, it.revision);
+  return page.as_of > 0 ? std::min(newest, page.as_of) : newest;
+}
+
+}  // namespace
+
+ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness) {
+  // The list as a whole has the position of its oldest page, since it may lack
+  // changes that the other pages include.
+  const uint64_t position = PositionOf(page, freshness);
+  list.as_of = list.pages == 0 ? position : std::min(list.as_of, position);
+  ++list.pages;
+  list.objects.insert(list.objects.end(),
+                      std::make_move_iterator(page.objects.begin()),
+                      std::make_move_iterator(page.objects.end()));
+  if (!page.has_more)
+    return ListStep::kWhole;
+  // The list would go round in a circle after a name that it has been
+  // continued from before.
+  if (page.last_name.empty() ||
+      !list.continued_after.insert(page.last_name).second)
+    return ListStep::kPartial;
+  list.after = std::move(page.last_name);
+  return ListStep::kReadOn;
+}
+
+ListStep OnUnreadablePage(const ListReading& list) {
+  return list.pages == 0 ? ListStep::kFailed : ListStep::kPartial;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/routing/list_reading.h
@@ -0,0 +1,64 @@
+// Reads a list of store objects page by page.
+//
+// Handles lists that cannot be continued: a page that cannot be read, or one
+// whose names lead to no further page. What was read of such a list is used,
+// but it does not show that other objects are gone.
+#ifndef ROUTING_LIST_READING_H_
+#define ROUTING_LIST_READING_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/names_table.h"
+#include "decisions/store_calls.h"
+
+namespace sassafras {
+
+struct ListPage {
+  std::vector<StoreObject> objects;  // Those that can be read.
+  // Of the last object that has a readable name, even if the object itself
+  // cannot be read. Empty if there is none.
+  std::string last_name;
+  bool has_more = false;
+  uint64_t as_of = 0;  // The store's revision; zero if it cannot be read.
+};
+
+// A list of which some pages have been read.
+struct ListReading {
+  std::vector<StoreObject> objects;
+  std::string after;  // The next page begins after this name.
+  // Revision up to which the list certainly includes all changes; zero if
+  // unknown.
+  uint64_t as_of = 0;
+  size_t pages = 0;
+  std::set<std::string> continued_after;
+};
+
+enum class ListStep {
+  kReadOn,   // The next page must be read.
+  kWhole,    // The list is complete.
+  kPartial,  // The list cannot be read any further.
+  kFailed,   // Nothing could be read; the list must be tried again.
+};
+
+template <>
+struct NamesTable<ListStep> {
+  static constexpr EnumName<ListStep> kNames[] = {
+      {ListStep::kReadOn, "read_on"},
+      {ListStep::kWhole, "whole"},
+      {ListStep::kPartial, "partial"},
+      {ListStep::kFailed, "failed"},
+  };
+};
+
+// Adds the next page.
+ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness);
+// The store has answered the call for the next page, but not with a page that
+// can be read.
+ListStep OnUnreadablePage(const ListReading& list);
+
+}  // namespace sassafras
+
+#endif  // ROUTING_LIST_READING_H_
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -1,6 +1,7 @@
 #include "routing/store_cache.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -59,7 +60,8 @@
     RecordRemoval(kind, it);
     applied.push_back(it);
   }
-  if (kind.as_of == 0) {
+  // Hosts that have a part of the objects, as this one did, need a list.
+  if (kind.as_of == 0 || kind.is_partial) {
     kind.removals_since = as_of;
   } else if (kind.as_of < as_of) {
     kind.gaps.push_back({kind.as_of, as_of});
@@ -68,6 +70,7 @@
       kind.gaps.pop_front();
     }
   }
+  kind.is_partial = false;
   return applied;
 }
 
@@ -133,9 +136,9 @@
              CachePush& push) {
   if (kind.as_of == 0)
     return;
-  CacheSpan span{name, from, kind.as_of, false, {}};
+  CacheSpan span{name, from, kind.as_of, false, {}, kind.is_partial};
   if (from < kind.as_of) {
-    span.is_list = !KnowsRemovalsSince(kind, from);
+    span.is_list = !kind.is_partial && !KnowsRemovalsSince(kind, from);
     // An object that was created again needs no removal: its new revision
     // replaces the old one.
     for (const CacheItem& it : kind.removals) {
@@ -164,7 +167,9 @@
 
 bool IsComplete(const StoreCache& cache) {
   return std::all_of(cache.kinds.begin(), cache.kinds.end(),
-                     [](const auto& it) { return it.second.as_of > 0; });
+                     [](const auto& it) {
+                       return it.second.as_of > 0 || it.second.is_partial;
+                     });
 }
 
 CacheFollow PositionsOf(const StoreCache& cache) {
@@ -184,6 +189,7 @@
   std::vector<CacheItem> applied;
   if (!change.complete) {
     applied = ApplyChanges(known, items);
+    known.is_partial = known.is_partial || change.is_partial_list;
   } else if (change.as_of >= known.as_of) {
     // A list from a replica of the store may be older than the cached state.
     std::set<std::string> listed;
@@ -195,6 +201,27 @@
   return applied;
 }
 
+namespace {
+
+// The names of all objects that the sender of `span` knows; `items` are those
+// of the span. Nothing if the span does not tell.
+std::optional<std::set<std::string>> NamesIn(
+    const CacheSpan& span,
+    const std::vector<CacheItem>& items) {
+  if (span.is_list)
+    return std::set<std::string>(span.names.begin(), span.names.end());
+  if (span.from > 0 || span.is_partial)
+    return std::nullopt;
+  std::set<std::string> names;
+  for (const CacheItem& it : items) {
+    if (!it.removed)
+      names.insert(it.name);
+  }
+  return names;
+}
+
+}  // namespace
+
 std::vector<CacheItem> ApplyPush(StoreCache& cache, const CachePush& push) {
   std::map<std::string, std::vector<CacheItem>> by_kind;
   for (const CacheItem& it : push.items)
@@ -205,17 +232,24 @@
     if (it == cache.kinds.end())
       continue;
     CachedKind& kind = it->second;
+    if (kind.is_partial && !span.is_partial && span.from > 0) {
+      kind.as_of = 0;
+      continue;
+    }
     // A lagging sender must not revert newer state.
     if (span.from > kind.as_of || span.as_of <= kind.as_of)
       continue;
-    auto part = span.is_list
-                    ? ApplyFullList(kind, by_kind[span.kind],
-                                    {span.names.begin(), span.names.end()},
-                                    span.kind, span.as_of)
-                    : ApplyChanges(kind, by_kind[span.kind]);
+    const std::vector<CacheItem>& items = by_kind[span.kind];
+    const auto names = NamesIn(span, items);
+    // What a partial list has left open is settled only by all names.
+    const bool replaces_all = span.is_list || (kind.is_partial && names);
+    auto part = replaces_all
+                    ? ApplyFullList(kind, items, *names, span.kind, span.as_of)
+                    : ApplyChanges(kind, items);
     for (CacheItem& item : part)
       applied.push_back(std::move(item));
     kind.as_of = span.as_of;
+    kind.is_partial = span.is_partial;
   }
   return applied;
 }
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -36,6 +36,9 @@
   std::deque<CacheItem> removals;
   uint64_t removals_since = 0;
   std::deque<HistoryGap> gaps;
+  // A list could not be read to its end: objects that are not in `objects` may
+  // exist. `as_of` is zero if no later list or push was read.
+  bool is_partial = false;
 };
 
 struct StoreCache {
@@ -52,7 +55,7 @@
 
 StoreCache MakeStoreCache(const std::vector<std::string>& kinds);
 
-// Whether every kind has been listed.
+// Whether every kind has been listed, as far as its list could be read.
 bool IsComplete(const StoreCache& cache);
 
 // Returns the cached position of each kind, to request later changes from a
@@ -67,7 +70,9 @@
 
 // Applies a push from another host and returns the items that changed the
 // cache. A span that starts after the cached position is ignored, since changes
-// before it are missing; the sender detects this and sends them again.
+// before it are missing; the sender detects this and sends them again. If the
+// sender knows all objects and the cache does not, the cache gives up its
+// position, so that the sender sends everything.
 std::vector<CacheItem> ApplyPush(StoreCache& cache, const CachePush& push);
 
 // Whether the cache is as new as the sender's, after ApplyPush().
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -190,5 +190,63 @@
   EXPECT_EQ(evacuated.arrivals(), 0);
 }
 
+// Incident 031.
+TEST_F(EntryNamesTest, ListGoesOnAfterEntriesWithoutANameOrWithBrokenText) {
+  world_.store().set_page_size(2);
+  AddEndpoints(4);
+  // Each is the last one on its page, or the first one after another such.
+  world_.store().PutNameless("servers", "i-1x", Json::object());
+  world_.store().PutRawText("servers", "i-2x", "}{");
+  world_.store().PutRawText("servers", "i-3x", R"({"service":"rondas",)");
+  world_.store().PutRawText("evacuations", "a", "]");
+  world_.PutConfig(1);
+  StartHosts(1);
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+  // They appear in answers to watches.
+  world_.store().PutRawText("servers", "i-1y", "}{");
+  AddEndpoints(1);
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+  world_.store().PutRawText("servers", "i-1y", R"({"state":)");
+  AddEndpoints(1);
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+}
+
+// Incident 031. What was known, and what can be read, goes on to be used.
+TEST_F(EntryNamesTest, ListThatCannotGoOnDoesNotStopService) {
+  constexpr int kHosts = 3;
+  world_.store().set_page_size(2);
+  AddEndpoints(4);
+  world_.PutConfig(1);
+  StartHosts(kHosts);
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+  // No name on the second page leads to the third one.
+  const std::vector<std::string> nameless = {"i-2x", "i-2y", "i-2z"};
+  for (const std::string& it : nameless)
+    world_.store().PutNameless("servers", it, Json::object());
+  // A host that starts has the rest from the others.
+  world_.StartGateway(kHosts + 1);
+  ASSERT_TRUE(world_.WaitReady(kHosts + 1));
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, kHosts + 1));
+  world_.store().DropHistory();
+  Wait(kApplyTime);
+  for (int i = 1; i <= kHosts + 1; ++i)
+    EXPECT_EQ(CountReached(i), endpoints_.size());
+  // Without others, a host has what the list shows.
+  KillHosts(kHosts + 1);
+  StartHosts(kHosts);
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_GE(CountReached(i), 2U);
+  // Changes arrive through the relays.
+  AddEndpoints(1);
+  EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+    CountReached(kHosts);
+    return !endpoints_.back()->runs().empty();
+  }));
+  for (const std::string& it : nameless)
+    world_.store().Delete("servers", it);
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_TRUE(AllReachedWithin(seconds(5), i));
+}
+
 }  // namespace
 }  // namespace sassafras
--- /dev/null
+++ b/tests/routing/list_reading_test.cc
@@ -0,0 +1,59 @@
+#include "routing/list_reading.h"
+
+#include <gtest/gtest.h>
+
+namespace sassafras {
+namespace {
+
+ListPage Page(const std::string& name, uint64_t revision, uint64_t as_of) {
+  return {{{"k", name, revision, "{}"}}, name, true, as_of};
+}
+
+TEST(ListReadingTest, WholeListHasThePositionOfItsOldestPage) {
+  ListReading list;
+  EXPECT_EQ(OnPage(list, Page("a", 3, 9), ListFreshness::kCurrent),
+            ListStep::kReadOn);
+  EXPECT_EQ(list.after, "a");
+  ListPage last = Page("b", 4, 8);
+  last.has_more = false;
+  EXPECT_EQ(OnPage(list, last, ListFreshness::kCurrent), ListStep::kWhole);
+  EXPECT_EQ(list.objects.size(), 2U);
+  EXPECT_EQ(list.as_of, 8U);
+}
+
+TEST(ListReadingTest, PageThatMayBeStaleIsAsNewAsItsNewestObject) {
+  ListReading list;
+  OnPage(list, Page("a", 3, 9), ListFreshness::kMayBeStale);
+  EXPECT_EQ(list.as_of, 3U);
+}
+
+TEST(ListReadingTest, PageWithoutARevisionIsAsNewAsItsNewestObject) {
+  ListReading list;
+  OnPage(list, Page("a", 3, 0), ListFreshness::kCurrent);
+  EXPECT_EQ(list.as_of, 3U);
+}
+
+// Incident 031. Such a list was read without end, or taken for whole.
+TEST(ListReadingTest, ListThatCannotGoOnIsPartial) {
+  ListReading circle;
+  EXPECT_EQ(OnPage(circle, Page("a", 3, 9), ListFreshness::kCurrent),
+            ListStep::kReadOn);
+  EXPECT_EQ(OnPage(circle, Page("b", 3, 9), ListFreshness::kCurrent),
+            ListStep::kReadOn);
+  EXPECT_EQ(OnPage(circle, Page("a", 3, 9), ListFreshness::kCurrent),
+            ListStep::kPartial);
+  ListReading nameless;
+  EXPECT_EQ(OnPage(nameless, {{}, "", true, 9}, ListFreshness::kCurrent),
+            ListStep::kPartial);
+}
+
+TEST(ListReadingTest, UnreadablePageEndsAListThatHasBegun) {
+  ListReading list;
+  EXPECT_EQ(OnUnreadablePage(list), ListStep::kFailed);
+  OnPage(list, Page("a", 3, 9), ListFreshness::kCurrent);
+  EXPECT_EQ(OnUnreadablePage(list), ListStep::kPartial);
+  EXPECT_EQ(list.objects.size(), 1U);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -287,5 +287,73 @@
   EXPECT_EQ(host.kinds["k"].objects.count("a"), 0U);
 }
 
+StoreChange PartialList(std::vector<StoreObject> objects, uint64_t as_of) {
+  return {std::move(objects), false, as_of, true};
+}
+
+// Incident 031.
+TEST(StoreCacheTest, PartialListRemovesNothing) {
+  StoreCache cache = MakeStoreCache({"k"});
+  ApplyStoreChange(cache, "k",
+                   List({{"k", "a", 5, "1"}, {"k", "b", 6, "2"}}, 6));
+  const auto applied =
+      ApplyStoreChange(cache, "k", PartialList({{"k", "a", 8, "3"}}, 9));
+  ASSERT_EQ(applied.size(), 1U);
+  EXPECT_EQ(applied[0].value, "3");
+  EXPECT_EQ(cache.kinds["k"].objects.count("b"), 1U);
+  // Nor do hosts that follow this one remove anything.
+  StoreCache host = MakeStoreCache({"k"});
+  ApplyStoreChange(host, "k",
+                   List({{"k", "b", 6, "2"}, {"k", "c", 4, "4"}}, 7));
+  ApplyPush(host, MakePush(cache, PositionsOf(host), {}));
+  EXPECT_EQ(host.kinds["k"].objects.size(), 3U);
+  EXPECT_TRUE(host.kinds["k"].is_partial);
+}
+
+// Incident 031. A host that starts has only what the list showed.
+TEST(StoreCacheTest, HostWithAPartialListGetsTheRestFromARelay) {
+  StoreCache relay = MakeStoreCache({"k"});
+  ApplyStoreChange(relay, "k",
+                   List({{"k", "a", 5, "1"}, {"k", "b", 6, "2"}}, 7));
+  for (const uint64_t position : {0, 6, 7}) {
+    SCOPED_TRACE(position);
+    StoreCache host = MakeStoreCache({"k"});
+    CacheFollowers followers;
+    // The relay has removed "c" meanwhile.
+    ApplyStoreChange(
+        host, "k",
+        PartialList({{"k", "a", 5, "1"}, {"k", "c", 3, "4"}}, position));
+    EXPECT_TRUE(IsComplete(host));
+    for (int i = 0; i < 2; ++i)
+      ApplyPush(host, OnFollow(followers, relay, kFollower, PositionsOf(host),
+                               {}, kStart));
+    EXPECT_EQ(host.kinds["k"].as_of, 7U);
+    EXPECT_FALSE(host.kinds["k"].is_partial);
+    EXPECT_EQ(host.kinds["k"].objects.count("b"), 1U);
+    EXPECT_EQ(host.kinds["k"].objects.count("c"), 0U);
+  }
+}
+
+// Incident 031.
+TEST(StoreCacheTest, WholeListAfterAPartialOneReachesFollowers) {
+  StoreCache relay = MakeStoreCache({"k"});
+  StoreCache host = MakeStoreCache({"k"});
+  CacheFollowers followers;
+  const auto follow = [&] {
+    ApplyPush(host, OnFollow(followers, relay, kFollower, PositionsOf(host), {},
+                             kStart));
+  };
+  ApplyStoreChange(relay, "k", PartialList({{"k", "a", 5, "1"}}, 7));
+  follow();
+  EXPECT_EQ(host.kinds["k"].objects.size(), 1U);
+  EXPECT_TRUE(host.kinds["k"].is_partial);
+  ApplyStoreChange(relay, "k",
+                   List({{"k", "a", 5, "1"}, {"k", "b", 6, "2"}}, 7));
+  follow();
+  follow();
+  EXPECT_EQ(host.kinds["k"].objects.size(), 2U);
+  EXPECT_FALSE(host.kinds["k"].is_partial);
+}
+
 }  // namespace
 }  // namespace sassafras
