Refuse answers whose status is outside 100 to 599

Callers: an endpoint's answer with status 600 or more was passed on. One with a status below 100 was taken for an interim answer: the caller waited until the deadline, got 504, and the endpoint's body counted for nothing.

Cause: the parser takes any three digits for a status.

Change: the reader of answers ends with "malformed", so that the request is tried elsewhere if it may repeat, and else is answered 502 at once.

--- a/src/http1/http1.cc
+++ b/src/http1/http1.cc
@@ -21,6 +21,9 @@
     "connection",       "keep-alive", "transfer-encoding", "content-length",
     "proxy-connection", "te",         "trailer",           "upgrade"};
 
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 std::string ToStdString(string_view text) {
   return {text.data(), text.size()};
 }
@@ -119,7 +122,9 @@
   void on_response_impl(int status,
                         string_view reason,
                         int,
-                        error_code&) override {
+                        error_code& ec) override {
+    if (status < kMinStatus || status > kMaxStatus)
+      ec = http::error::bad_status;
     head_.status = status;
     head_.reason = ToStdString(reason);
   }
--- a/tests/gateway/untrusted_input_test.cc
+++ b/tests/gateway/untrusted_input_test.cc
@@ -212,7 +212,15 @@
   StartOne(2);
   for (PlatformStandinEndpoint* it : endpoints_)
     it->UseSmallSocketBuffers();
-  SetAct(StandinBehavior::kEarlyUnframedReset);
+  for (PlatformStandinEndpoint* it : endpoints_) {
+    it->set_raw_answer([](const std::string& id) {
+      return FormatAnswerHead(200, {{"Request-Id", id},
+                                    {"Server-Seal", "seal-" + id},
+                                    {"Connection", "close"}}) +
+             "half of the answer";
+    });
+  }
+  SetAct(StandinBehavior::kEarlyRawAnswerAndReset);
   for (int i = 0; i < 5; ++i) {
     const std::string id = "w" + std::to_string(i);
     EXPECT_EQ(Status(RequestText("POST", "/upload/" + id, id, "",
--- a/tests/http1/http1_test.cc
+++ b/tests/http1/http1_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <random>
+#include <string>
+#include <vector>
 
 namespace sassafras {
 namespace {
@@ -106,6 +108,74 @@
   }
 }
 
+// Incident 031.
+TEST(HttpReaderTest, StatusThatIsNoneIsMalformed) {
+  for (const char* it :
+       {"000", "001", "099", "600", "700", "999", "20", "2", "2000", "0200", "",
+        "2x0", "-20", "+20", " 200", "2 00", "20\t",
+        "\x01"
+        "00"}) {
+    SCOPED_TRACE(it);
+    const auto reader = NewAnswerReader(kLimits, false);
+    Feed(*reader,
+         "HTTP/1.1 " + std::string(it) + " OK\r\nContent-Length: 2\r\n\r\nhi",
+         5);
+    EXPECT_EQ(NameOf(reader->state()), NameOf(HttpReadState::kMalformed));
+  }
+  for (const char* it : {"100", "199", "200", "599"}) {
+    const auto reader = NewAnswerReader(kLimits, false);
+    Feed(*reader,
+         "HTTP/1.1 " + std::string(it) + " OK\r\nContent-Length: 0\r\n\r\n", 5);
+    EXPECT_EQ(NameOf(reader->state()), NameOf(HttpReadState::kComplete)) << it;
+  }
+}
+
+// Lines that are no fields, or whose control bytes could be read otherwise by
+// the next reader.
+std::vector<std::string> MalformedFieldLines() {
+  using std::string_literals::operator""s;
+  std::vector<std::string> lines = {
+      ": v",     " : v",       "\t: v",   "X : v",        "X\t: v",
+      "X Y: v",  "X\tY: v",    "X",       "X Y",          "X\r: v",
+      "X\rY: v", "X: v\rY: w", "X(Y): v", "X\xc3\xa9: v", "\"X\": v"};
+  for (const std::string& it : {"\0"s, "\x01"s, "\x07"s, "\x08"s, "\x0b"s,
+                                "\x0c"s, "\x1b"s, "\x1f"s, "\x7f"s}) {
+    lines.push_back("X" + it + "Y: v");
+    lines.push_back(it + ": v");
+    lines.push_back("X: v" + it + "w");
+  }
+  return lines;
+}
+
+// Incident 031.
+TEST(HttpReaderTest, MalformedFieldInAnyPlaceIsMalformed) {
+  const std::string begin = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  for (const std::string& it : MalformedFieldLines()) {
+    const std::string line = it + "\r\n";
+    for (const std::string& text :
+         {begin + line + "Content-Length: 0\r\n\r\n",
+          begin + "Content-Length: 0\r\n" + line + "\r\n",
+          begin + chunked + "\r\n1\r\na\r\n0\r\n" + line + "\r\n",
+          "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n"}) {
+      for (const size_t step : {size_t{1}, text.size()}) {
+        SCOPED_TRACE(testing::PrintToString(text) + std::to_string(step));
+        const auto reader = NewAnswerReader(kLimits, false);
+        Feed(*reader, text, step);
+        EXPECT_EQ(NameOf(reader->state()), NameOf(HttpReadState::kMalformed));
+      }
+    }
+  }
+}
+
+// Incident 031. The parts are joined, so that no line begins with a blank.
+TEST(HttpReaderTest, FoldedFieldBecomesOneLine) {
+  const auto reader = NewAnswerReader(kLimits, false);
+  Feed(*reader, "HTTP/1.1 204 None\r\nX: a\r\n b\r\n\tc\r\n\r\n", 3);
+  ASSERT_EQ(reader->state(), HttpReadState::kComplete);
+  EXPECT_EQ(*FindField(reader->head().fields, "X"), "a b c");
+}
+
 TEST(HttpReaderTest, AnswerToHeadHasNoBody) {
   const auto reader = NewAnswerReader(kLimits, true);
   Feed(*reader, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 5);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -38,8 +38,8 @@
 // Of connections with small buffers.
 constexpr int kSegmentBytes = 1400;
 constexpr int kReceiveBufferBytes = 8 << 10;
-// From the begun answer to the reset, with kEarlyUnframedReset.
-constexpr auto kEarlyResetDelay = std::chrono::milliseconds(50);
+// From an early answer to the end of its connection.
+constexpr auto kEarlyEndDelay = std::chrono::milliseconds(50);
 
 template <typename T>
 T OrDie(Result<T> result) {
@@ -395,26 +395,26 @@
   if (connection->reader->state() == HttpReadState::kComplete)
     HandleRequest(connection);
   else if (connection->reader->state() == HttpReadState::kBody &&
-           behavior_ == StandinBehavior::kEarlyUnframedReset)
-    SendEarlyUnframedReset(connection);
+           (behavior_ == StandinBehavior::kEarlyRawAnswerAndReset ||
+            behavior_ == StandinBehavior::kEarlyRawAnswerAndClose))
+    SendEarlyAnswer(connection);
 }
 
-void PlatformStandinEndpoint::SendEarlyUnframedReset(
+void PlatformStandinEndpoint::SendEarlyAnswer(
     const std::shared_ptr<Connection>& connection) {
-  Stream& stream = *connection->stream;
   const HttpHead& head = connection->reader->head();
   const std::string* id = FindField(head.fields, "Request-Id");
   const std::string request_id = id ? *id : "";
   runs_.push_back({request_id, head, "", loop_.Now()});
-  stream.SetReading(false);
-  stream.Write(FormatAnswerHead(200, {{"Request-Id", request_id},
-                                      {"Server-Seal", "seal-" + request_id},
-                                      {"Connection", "close"}}) +
-               "half of the answer");
-  // Closing with unread bytes resets the connection.
-  connection->answer_timer = loop_.After(kEarlyResetDelay, [connection] {
+  connection->stream->SetReading(false);
+  connection->stream->Write(raw_answer_(request_id));
+  const bool resets = behavior_ == StandinBehavior::kEarlyRawAnswerAndReset;
+  connection->answer_timer = loop_.After(kEarlyEndDelay, [connection, resets] {
     connection->answer_timer.reset();
-    connection->stream->Close();
+    if (resets)
+      connection->stream->Close();
+    else
+      connection->stream->CloseGracefully();
   });
 }
 
@@ -563,6 +563,9 @@
       stream.Write(FormatAnswerHead(200, fields) + body);
       stream.CloseGracefully();
       return;
+    case StandinBehavior::kRawAnswer:
+      stream.Write(raw_answer_(id));
+      return;
     case StandinBehavior::kEndlessGarbage:
       SendEndlessly(connection, "", "noise\r\n");
       return;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -140,9 +140,13 @@
   kUnsigned,       // Answers without its signature.
   kForeignAnswerFirst,  // Sends an answer to another request before its own.
   kUnframed,  // Answers without Content-Length and closes the connection.
-  // Begins an answer without Content-Length before the request's body is read,
-  // and resets the connection in the middle of it.
-  kEarlyUnframedReset,
+  // Runs the request and sends the text of set_raw_answer().
+  kRawAnswer,
+  // As kRawAnswer, but once it has the request's head; it reads no body. Then
+  // resets the connection, which closing with unread bytes does.
+  kEarlyRawAnswerAndReset,
+  // As kEarlyRawAnswerAndReset, but closes its side of the connection in order.
+  kEarlyRawAnswerAndClose,
   kServerError,  // Answers 500 with its signature.
   kNotFound,     // Answers 404 with its signature.
   kTimeout,      // Answers 504 with its signature.
@@ -232,6 +236,9 @@
   // buffers of a network. With those of the loopback interface, whole uploads
   // fit into the socket buffers.
   void UseSmallSocketBuffers();
+  // Text that is sent as the answer to the request `id`.
+  using RawAnswer = std::function<std::string(const std::string& id)>;
+  void set_raw_answer(RawAnswer answer) { raw_answer_ = std::move(answer); }
   // Size in bytes to which the bodies of answers are padded; 0: no padding.
   void set_answer_bytes(size_t n) { answer_bytes_ = n; }
   // Number of bytes of the head that kTruncatedHead and kTruncatedChunkedHead
@@ -276,7 +283,7 @@
   void Accept();
   void OnData(const std::shared_ptr<Connection>& connection,
               std::string_view data);
-  void SendEarlyUnframedReset(const std::shared_ptr<Connection>& connection);
+  void SendEarlyAnswer(const std::shared_ptr<Connection>& connection);
   void HandleRequest(const std::shared_ptr<Connection>& connection);
   void SendRefusal(const std::shared_ptr<Connection>& connection,
                    const std::string& request_id,
@@ -295,6 +302,7 @@
   std::unique_ptr<Watch> accept_watch_;
   std::unique_ptr<Watch> restart_timer_;
   CrashRule crash_rule_;
+  RawAnswer raw_answer_;
   std::function<void()> on_restart_;
   int crashes_ = 0;
   StandinCrash crash_ = StandinCrash::kClosesConnections;
