Refuse malformed answers in the client of endpoints too

Callers of entry hosts: an answer with status 600 to 999, or with a field whose name holds a blank or a control byte, or whose value holds a control byte, was passed on with that line. Of a folded field only its first line was passed on (by the code, not by a run).

Cause: as in the reader of gateways, but here libcurl reads the answer. It accepts such lines, and our own code took what stands before a colon.

Change: the status line and the fields of heads and trailers are checked by base/http_fields; a malformed one ends the request as broken. Folded lines are joined.

--- a/src/base/http_status.h
+++ b/src/base/http_status.h
@@ -22,6 +22,10 @@
 constexpr int kHttpServiceUnavailable = 503;
 constexpr int kHttpGatewayTimeout = 504;
 
+constexpr bool IsHttpStatus(int status) {
+  return status >= 100 && status < 600;
+}
+
 constexpr bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
--- a/src/endpoints/endpoint_client.cc
+++ b/src/endpoints/endpoint_client.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "base/http_client.h"
+#include "base/http_fields.h"
 #include "base/http_status.h"
 #include "endpoints/endpoints.h"
 
@@ -15,6 +16,8 @@
 
 constexpr long kMaxPooledConnections = 2000;
 constexpr char kExchangeHeader[] = "Sassafras-Exchange";
+constexpr std::string_view kProtocolName = "HTTP/";
+constexpr size_t kStatusDigits = 3;
 
 bool SameName(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
@@ -28,6 +31,20 @@
   return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
 }
 
+// Whether the status line has three digits that are a status.
+bool HasHttpStatus(std::string_view status_line) {
+  const size_t at = status_line.find(' ');
+  if (at == std::string_view::npos)
+    return false;
+  const std::string_view rest = status_line.substr(at + 1);
+  const std::string_view digits = rest.substr(0, rest.find(' '));
+  int status = 0;
+  const auto [end, ec] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), status);
+  return ec == std::errc() && end == digits.data() + digits.size() &&
+         digits.size() == kStatusDigits && IsHttpStatus(status);
+}
+
 class CurlEndpointClient;
 
 // One request to an endpoint and its answer. CurlEndpointClient and the
@@ -58,7 +75,8 @@
   static int OnBeforeRequest(void* self, char*, char*, int, int);
 
   size_t ReadBody(char* out, size_t size);
-  void HandleHeader(std::string_view line);
+  bool HandleHeader(std::string_view line);
+  void HandleField(std::string_view name, std::string_view value);
   size_t HandleBody(const char* data, size_t size);
   void SetBody();
   void FinishHead();
@@ -81,6 +99,7 @@
   bool head_delivered_ = false;
   bool wrong_exchange_ = false;
   bool has_shed_header_ = false;
+  bool forwards_last_field_ = false;  // It is the last one of `answer_`.
   EndpointAnswer answer_;
   EndpointResult result_;
   bool keeps_answer_ = true;
@@ -222,23 +241,46 @@
                                   size_t size,
                                   size_t count,
                                   void* self) {
-  static_cast<EndpointTransfer*>(self)->HandleHeader({data, size * count});
-  return size * count;
+  // Any other result than the size ends the transfer.
+  return static_cast<EndpointTransfer*>(self)->HandleHeader(
+             {data, size * count})
+             ? size * count
+             : 0;
 }
 
-void EndpointTransfer::HandleHeader(std::string_view line) {
+// Handles a line of a head or a trailer. Returns false if it is malformed;
+// libcurl accepts most lines.
+bool EndpointTransfer::HandleHeader(std::string_view line) {
+  const bool is_continuation =
+      !line.empty() && (line.front() == ' ' || line.front() == '\t');
   line = TrimLine(line);
-  if (line.substr(0, 5) == "HTTP/") {
+  if (line.substr(0, kProtocolName.size()) == kProtocolName) {
     answer_ = EndpointAnswer();
     has_shed_header_ = false;
-    return;
+    forwards_last_field_ = false;
+    return HasHttpStatus(line);
+  }
+  if (line.empty())
+    return true;
+  if (is_continuation) {
+    if (forwards_last_field_)
+      answer_.headers.back().second.append(" ").append(line);
+    return IsFieldValue(line);
   }
   const size_t colon = line.find(':');
-  if (line.empty() || colon == std::string_view::npos)
-    return;
-  const std::string_view name = line.substr(0, colon);
+  if (colon == std::string_view::npos || !IsFieldName(line.substr(0, colon)))
+    return false;
   const std::string_view value = TrimLine(line.substr(colon + 1));
-  if (SameName(name, kExchangeHeader)) {
+  if (!IsFieldValue(value))
+    return false;
+  HandleField(line.substr(0, colon), value);
+  return true;
+}
+
+void EndpointTransfer::HandleField(std::string_view name,
+                                   std::string_view value) {
+  forwards_last_field_ = !SameName(name, kExchangeHeader);
+  if (!forwards_last_field_) {
     wrong_exchange_ = value != std::to_string(request_.exchange.value());
     return;
   }
--- a/src/http1/http1.cc
+++ b/src/http1/http1.cc
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/http_status.h"
+
 namespace sassafras {
 
 namespace {
@@ -21,9 +23,6 @@
     "connection",       "keep-alive", "transfer-encoding", "content-length",
     "proxy-connection", "te",         "trailer",           "upgrade"};
 
-constexpr int kMinStatus = 100;
-constexpr int kMaxStatus = 599;
-
 std::string ToStdString(string_view text) {
   return {text.data(), text.size()};
 }
@@ -123,7 +122,7 @@
                         string_view reason,
                         int,
                         error_code& ec) override {
-    if (status < kMinStatus || status > kMaxStatus)
+    if (!IsHttpStatus(status))
       ec = http::error::bad_status;
     head_.status = status;
     head_.reason = ToStdString(reason);
--- a/tests/endpoints/endpoint_client_test.cc
+++ b/tests/endpoints/endpoint_client_test.cc
@@ -1,4 +1,5 @@
-// Tests the client of endpoints against endpoints that send data without end.
+// Tests the client of endpoints against endpoints that send data without end,
+// or answers that are no answers by HTTP.
 #include <gtest/gtest.h>
 
 #include "endpoints/endpoints.h"
@@ -99,5 +100,95 @@
   }
 }
 
+// Answers each request with the same text.
+class RawEndpoint {
+ public:
+  RawEndpoint(Loop& loop, std::string text)
+      : loop_(loop), text_(std::move(text)) {
+    auto listener = Listen(kEndpointAddress);
+    EXPECT_TRUE(listener);
+    listener_ = std::move(listener.value());
+    accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead, [this](bool, bool) {
+      const auto stream = Stream::Adopt(loop_, AcceptConnection(listener_));
+      streams_.push_back(stream);
+      Stream::Handlers handlers;
+      handlers.on_data = [this, stream](std::string_view) {
+        stream->Write(text_);
+      };
+      stream->Start(std::move(handlers));
+    });
+  }
+  ~RawEndpoint() {
+    for (const auto& it : streams_)
+      it->Close();
+  }
+  RawEndpoint(const RawEndpoint&) = delete;
+  RawEndpoint& operator=(const RawEndpoint&) = delete;
+
+ private:
+  Loop& loop_;
+  std::string text_;
+  Socket listener_;
+  std::unique_ptr<Watch> accept_;
+  std::vector<std::shared_ptr<Stream>> streams_;
+};
+
+struct SeenAnswer {
+  std::optional<SlotOutcome> outcome;
+  bool has_head = false;
+};
+
+SeenAnswer SendTo(const std::string& answer) {
+  Loop loop;
+  RawEndpoint endpoint(loop, answer);
+  const auto client = MakeEndpointClient(loop);
+  EndpointRequest request;
+  request.exchange = ExchangeId(1);
+  request.address = kEndpointAddress;
+  request.method = "GET";
+  request.target = "/read";
+  request.timeout = milliseconds(700);
+  request.buffer_bytes = 1 << 10;
+  SeenAnswer seen;
+  client->Send(
+      request, [&](const EndpointAnswer&) { seen.has_head = true; },
+      [&](const EndpointResult& result) {
+        seen.outcome = result.outcome;
+        loop.Stop();
+      });
+  const auto timer = loop.After(seconds(2), [&] { loop.Stop(); });
+  loop.Run();
+  client->Cancel(ExchangeId(1));
+  return seen;
+}
+
+// Incident 031. Such an answer must not reach the caller.
+TEST(EndpointClientTest, MalformedAnswerIsNotPassedOn) {
+  const std::string rest = "Content-Length: 2\r\n\r\nhi";
+  for (const char* it : {"000", "001", "099", "600", "999", "20", "2000"}) {
+    SCOPED_TRACE(it);
+    const SeenAnswer seen =
+        SendTo("HTTP/1.1 " + std::string(it) + " OK\r\n" + rest);
+    EXPECT_FALSE(seen.has_head);
+    EXPECT_NE(seen.outcome, SlotOutcome::kAnswered);
+    EXPECT_NE(seen.outcome, SlotOutcome::kFailed);
+  }
+  for (const char* it : {"X Y: v", "X\tY: v", "X\x01Y: v", "X : v", ": v", "X",
+                         "X: a\x01"
+                         "b",
+                         "X: a\rb", "X\x7f: v"}) {
+    SCOPED_TRACE(testing::PrintToString(it));
+    for (const std::string& text :
+         {std::string(it) + "\r\n" + rest,
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" +
+              std::string(it) + "\r\n\r\n"}) {
+      const SeenAnswer seen = SendTo("HTTP/1.1 200 OK\r\n" + text);
+      EXPECT_NE(seen.outcome, SlotOutcome::kAnswered) << text;
+    }
+  }
+  EXPECT_EQ(SendTo("HTTP/1.1 200 OK\r\nX: a\r\n b\r\n" + rest).outcome,
+            SlotOutcome::kAnswered);
+}
+
 }  // namespace
 }  // namespace sassafras
