--- a/src/base/address.cc
+++ b/src/base/address.cc
@@ -23,6 +23,9 @@
 
 std::optional<uint32_t> ParseIpv4(std::string_view ip) {
   in_addr addr{};
+  // inet_pton() would not read past a null character.
+  if (ip.find('\0') != std::string_view::npos)
+    return std::nullopt;
   if (inet_pton(AF_INET, std::string(ip).c_str(), &addr) != 1)
     return std::nullopt;
   return ntohl(addr.s_addr);
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -248,5 +248,57 @@
     EXPECT_TRUE(AllReachedWithin(seconds(5), i));
 }
 
+// Incident 031. The name is sent in a header of each request to the endpoint.
+TEST_F(EntryNamesTest, RecordInOrderUnderAnOddNameAddsNoHeaders) {
+  AddEndpoints(1);
+  PlatformStandinEndpoint& endpoint = *endpoints_[0];
+  // The endpoint's own address under other names.
+  for (const std::string& it : OddNames())
+    world_.store().Put("servers", it, endpoint.Record("rondas", "cuyo-a"));
+  world_.store().Put("servers", "i-1\r\nX-Added: 1",
+                     endpoint.Record("rondas", "cuyo-a"));
+  world_.store().Put("servers",
+                     "i-1\r\n\r\nGET /read/added HTTP/1.1\r\nRequest-Id: added",
+                     endpoint.Record("rondas", "cuyo-a"));
+  world_.PutConfig(1);
+  StartHosts(1);
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "h" + std::to_string(i);
+    StatusAt(1, RequestText("GET", "/read/" + id, id,
+                            "Cookie: Affinity-Key=" + id + "\r\n"));
+  }
+  EXPECT_FALSE(world_.HasExited(1));
+  EXPECT_FALSE(endpoint.runs().empty());
+  for (const auto& it : endpoint.runs()) {
+    EXPECT_EQ(FindField(it.head.fields, "X-Added"), nullptr);
+    EXPECT_EQ(it.request_id[0], 'h');
+  }
+}
+
+// Incident 031. An endpoint that is sent requests for another id rejects them.
+TEST_F(EntryNamesTest, RecordInOrderUnderAnOddNameDoesNotHideTheEndpoint) {
+  AddEndpoints(2);
+  world_.PutConfig(1);
+  StartHosts(1);
+  WaitUntilHostsAreKnown();
+  for (const std::string it :
+       {"i-1&", "i-1+", "i-1 b", "!", "~", "i-1\xff", "i-1\r\nX: y"}) {
+    SCOPED_TRACE(testing::PrintToString(it));
+    world_.store().Put("servers", it,
+                       endpoints_[0]->Record("rondas", "cuyo-a"));
+    Wait(milliseconds(300));
+    for (const char* path : {"/read/", "/charge/"}) {
+      for (int i = 0; i < 4; ++i) {
+        const std::string id = "n" + std::to_string(++requests_);
+        EXPECT_EQ(StatusAt(1, RequestText("POST", path + id, id,
+                                          "Cookie: Affinity-Key=" + id + "\r\n",
+                                          "b")),
+                  200);
+      }
+    }
+    world_.store().Delete("servers", it);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -158,6 +158,52 @@
       });
 }
 
+// Incident 031. The name is sent in a header field.
+TEST(PlatformObjectsTest, RejectsIdsThatCannotBeSent) {
+  const auto is_read = [](const std::string& name) {
+    StoreObject endpoint = MakeEndpointObject(kEndpointJson);
+    endpoint.name = name;
+    const StoreObject host{kHostKind, name, 1,
+                           R"({"ip":"10.1.0.35","port":80,"zone":"cuyo-a"})"};
+    const bool is_endpoint = TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(DecodeEndpoint(endpoint, {}));
+          return true;
+        },
+        [](const Error&) { return false; });
+    const bool is_host = TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(DecodeHost(host));
+          return true;
+        },
+        [](const Error&) { return false; });
+    EXPECT_EQ(is_endpoint, is_host);
+    return is_endpoint;
+  };
+  for (const char* it : {"i-1", "i&1", "i 1", "i+%25#/1", "\xc3\xa9", "\xff"})
+    EXPECT_TRUE(is_read(it)) << it;
+  for (const char* it :
+       {"", " i", "i ", "i\t", "i\r\nX: y", "i\n", "i\x01", "\x7f"})
+    EXPECT_FALSE(is_read(it)) << testing::PrintToString(it);
+  EXPECT_FALSE(is_read(std::string("i\0j", 3)));
+  EXPECT_FALSE(is_read(std::string(5000, 'i')));
+}
+
+TEST(PlatformObjectsTest, RejectsHostsWithoutAnAddress) {
+  for (const char* it : {"", "here", "10.1.0", "10.1.0.35\\u0000x"}) {
+    const StoreObject host{
+        kHostKind, "h", 1,
+        R"({"ip":")" + std::string(it) + R"(","port":80,"zone":"cuyo-a"})"};
+    EXPECT_FALSE(TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(DecodeHost(host));
+          return true;
+        },
+        [](const Error&) { return false; }))
+        << it;
+  }
+}
+
 TEST(PlatformObjectsTest, DecodesConfiguration) {
   std::string error;
   const SteeringConfig config = DecodeConfigText(kConfigJson, error);
