Show the state of a host whatever the names of its objects are

Operators: GET /state ended the process if the name of an entry was not valid UTF-8.

Cause: the JSON library throws on such strings when it writes them, and no handler of a request expects that.

Change: answers with names from outside are written with the replacement character; labels of metrics are escaped.

--- a/src/app/entry_process.cc
+++ b/src/app/entry_process.cc
@@ -357,7 +357,7 @@
                  const std::string& code) {
     const CallArrived& arrived = open.call.arrived;
     const std::string labels =
-        "service=\"" + arrived.service.value() + "\",priority=\"" +
+        MetricLabel("service", arrived.service.value()) + ",priority=\"" +
         std::string(NameOf(arrived.route.priority)) + "\",result=\"" + result +
         "\",code=\"" + code + "\"";
     metrics_.Count("sassafras_calls_total", labels);
--- a/src/base/lenient_json.cc
+++ b/src/base/lenient_json.cc
@@ -180,4 +180,9 @@
   return builder.TakeResult();
 }
 
+std::string DumpLenientJson(const Json& json) {
+  constexpr int kNoIndent = -1;
+  return json.dump(kNoIndent, ' ', false, Json::error_handler_t::replace);
+}
+
 }  // namespace sassafras
--- a/src/base/lenient_json.h
+++ b/src/base/lenient_json.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <limits>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -40,6 +41,10 @@
 // UTF-8 are kept unchanged.
 std::optional<LenientJson> ParseLenientJson(std::string_view text);
 
+// JSON text of `json`. Bytes of strings that are not valid UTF-8 become the
+// replacement character.
+std::string DumpLenientJson(const nlohmann::json& json);
+
 // The integer in `json`; nullopt if it has another type or is out of the range
 // of `T`.
 template <typename T>
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -56,6 +56,21 @@
 
 }  // namespace
 
+std::string MetricLabel(std::string_view name, std::string_view value) {
+  std::string out(name);
+  out += "=\"";
+  for (const char c : value) {
+    if (c == '\n') {
+      out += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\')
+      out += '\\';
+    out += c;
+  }
+  return out + '"';
+}
+
 struct Metrics::Impl {
   std::map<SeriesKey, uint64_t> counters;
   std::map<SeriesKey, Timing> timings;
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -6,11 +6,15 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/time.h"
 
 namespace sassafras {
 
+// The label `name` with `value`, escaped as the text format requires.
+std::string MetricLabel(std::string_view name, std::string_view value);
+
 class Metrics {
  public:
   Metrics();
--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "base/http_status.h"
+#include "base/lenient_json.h"
 #include "callers/callers.h"
 
 namespace sassafras {
@@ -223,7 +224,7 @@
     json["hosts"].push_back(
         {{"host", it.host}, {"address", it.address}, {"weight", it.weight}});
   }
-  return json.dump();
+  return DumpLenientJson(json);
 }
 
 void RespondWithProblem(HttpSession& session, const Problem& problem) {
@@ -237,7 +238,7 @@
     headers.emplace_back("Retry-After",
                          std::to_string(static_cast<int64_t>(seconds)));
   }
-  session.Respond(problem.status, headers, json.dump());
+  session.Respond(problem.status, headers, DumpLenientJson(json));
 }
 
 Result<std::unique_ptr<HttpServer>> StartCallerServer(
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -311,8 +311,9 @@
       OnServiceTime(state_.admission, service_, route_->name,
                     now - ended.sent_at);
       state_.metrics.Observe("gateway_endpoint_seconds",
-                             "service=\"" + service_.value() + "\",rank=\"" +
-                                 std::to_string(route_->priority) + "\"",
+                             MetricLabel("service", service_.value()) +
+                                 ",rank=\"" + std::to_string(route_->priority) +
+                                 "\"",
                              now - ended.sent_at);
       break;
     case TryOutcome::kNotRun:
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/lenient_json.h"
+
 namespace sassafras {
 
 namespace {
@@ -96,7 +98,7 @@
   json["members"] = Json::array();
   for (const auto& [id, member] : state.members.others)
     json["members"].push_back(DumpMember(member, now));
-  return json.dump();
+  return DumpLenientJson(json);
 }
 
 }  // namespace sassafras
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -300,5 +300,30 @@
   }
 }
 
+// Incident 031. Under a name that is no text the process ended.
+TEST_F(EntryNamesTest, StateAndMetricsShowAnyName) {
+  AddEndpoints(1);
+  for (const std::string& it : OddNames()) {
+    world_.store().Put("servers", it,
+                       endpoints_[0]->Record("rondas", "cuyo-a"));
+    world_.store().Put("evacuations", it, Json::object());
+  }
+  world_.PutConfig(1);
+  StartHosts(1);
+  for (const char* path : {"/state", "/metrics"}) {
+    SCOPED_TRACE(path);
+    PlatformStandinCaller caller(world_.loop(), world_.OperatorAddressOf(1));
+    caller.Send("GET " + std::string(path) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    world_.RunUntil(kAnswerTimeout, [&] {
+      return !caller.answers().empty() || caller.is_closed();
+    });
+    ASSERT_FALSE(caller.answers().empty());
+    EXPECT_EQ(caller.answers()[0].head.status, 200);
+    if (std::string(path) == "/state")
+      EXPECT_TRUE(Json::accept(caller.answers()[0].body));
+  }
+  EXPECT_FALSE(world_.HasExited(1));
+}
+
 }  // namespace
 }  // namespace sassafras
