Quote and bound values in log lines

Operators: a name of an entry with a line break wrote lines of its own into the log; one with blanks and '=' looked like other pairs; one of any length was written whole.

Change: values with blanks, quotes, '=', backslashes or control characters are quoted and escaped, and cut after 1 KiB. Control characters elsewhere in a line are escaped.

Tests: LogLinesStayWhole failed before (x86_64), except that its line on pairs was then written for the quoted form.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <cstdlib>
 
 INITIALIZE_EASYLOGGINGPP
@@ -56,6 +58,26 @@
     FlushLog();
 }
 
+bool IsControl(char c) {
+  return (c >= 0 && c < ' ') || c == '\x7f';
+}
+
+bool NeedsQuotes(char c) {
+  return IsControl(c) || c == ' ' || c == '"' || c == '=' || c == '\\';
+}
+
+void AppendEscaped(std::string& out, char c) {
+  if (c == '"' || c == '\\') {
+    out += '\\';
+    out += c;
+    return;
+  }
+  std::array<char, 5> text{};
+  std::snprintf(text.data(), text.size(), "\\x%02x",
+                static_cast<unsigned char>(c));
+  out += text.data();
+}
+
 // Redirects lines formatted by easylogging++ into the buffer.
 class BufferedDispatch : public el::LogDispatchCallback {
  protected:
@@ -103,10 +125,34 @@
   std::atexit(&FlushLog);
 }
 
+void AppendLogValue(std::string& line, std::string_view value) {
+  const std::string_view shown = value.substr(0, kMaxLogValueBytes);
+  if (std::none_of(shown.begin(), shown.end(), NeedsQuotes)) {
+    line += shown;
+  } else {
+    line += '"';
+    for (const char c : shown) {
+      if (IsControl(c) || c == '"' || c == '\\')
+        AppendEscaped(line, c);
+      else
+        line += c;
+    }
+    line += '"';
+  }
+  if (shown.size() < value.size())
+    line += "...";
+}
+
 void WriteLog(LogLevel level, std::string_view part, const std::string& text) {
   if (level < g_level)
     return;
-  const std::string line = "[" + std::string(part) + "] " + text;
+  std::string line = "[" + std::string(part) + "] ";
+  for (const char c : text) {
+    if (IsControl(c))
+      AppendEscaped(line, c);
+    else
+      line += c;
+  }
   switch (level) {
     case LogLevel::kDebug:
     case LogLevel::kInfo:
--- a/tests/base/log_test.cc
+++ b/tests/base/log_test.cc
@@ -73,5 +73,22 @@
   EXPECT_NE(text.find("One more."), std::string::npos);
 }
 
+std::string LogValue(std::string_view value) {
+  std::string line;
+  AppendLogValue(line, value);
+  return line;
+}
+
+// Incident 031.
+TEST(LogTest, ValuesCannotLookLikeOtherPairsOrLines) {
+  EXPECT_EQ(LogValue("i-1"), "i-1");
+  EXPECT_EQ(LogValue("a&b+c#%25/\xc3\xa9"), "a&b+c#%25/\xc3\xa9");
+  EXPECT_EQ(LogValue("a b=c"), R"("a b=c")");
+  EXPECT_EQ(LogValue("a\nb\x1b\x7f"), R"("a\x0ab\x1b\x7f")");
+  EXPECT_EQ(LogValue(R"(a"b\c)"), R"("a\"b\\c")");
+  EXPECT_EQ(LogValue(std::string_view("a\0b", 3)), R"("a\x00b")");
+  EXPECT_EQ(LogValue(std::string(5000, 'x')).size(), kMaxLogValueBytes + 3);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -325,5 +325,26 @@
   EXPECT_FALSE(world_.HasExited(1));
 }
 
+// Incident 031. Each line of the log is one that a process wrote.
+TEST_F(EntryNamesTest, LogLinesStayWhole) {
+  AddEndpoints(1);
+  const std::string forged = "i-1\n2026-01-01T00:00:00.000 INFO [forged] line";
+  world_.store().Put("servers", forged,
+                     endpoints_[0]->Record("rondas", "cuyo-a"));
+  world_.store().Put("servers", "j" + forged, Json{{"service", 5}});
+  world_.store().Put("evacuations", forged, Json::object());
+  world_.store().Put("evacuations", "z state=ready \x1b[2J", Json::object());
+  world_.PutConfig(1);
+  StartHosts(1);
+  EXPECT_EQ(StatusAt(1, RequestText("GET", "/read/1", "g1")), 200);
+  EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+    return LogOf(1).find("Request finished.") != std::string::npos;
+  }));
+  const std::string log = LogOf(1);
+  EXPECT_EQ(log.find("\n2026-01-01T00:00:00.000"), std::string::npos);
+  EXPECT_EQ(log.find('\x1b'), std::string::npos);
+  EXPECT_NE(log.find(R"(zone="z state=ready \x1b[2J")"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace sassafras
