--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -346,5 +346,36 @@
   EXPECT_NE(log.find(R"(zone="z state=ready \x1b[2J")"), std::string::npos);
 }
 
+// Incident 031. As review/9: the record cannot be read any more, then it goes.
+TEST_F(EntryNamesTest, EndpointWhoseRecordBecomesUnreadableTextGetsNoRequests) {
+  AddEndpoints(2);
+  world_.PutConfig(1);
+  StartHosts(2);
+  for (int i = 1; i <= 2; ++i)
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+  // Each entry: how the record of the first endpoint is written.
+  for (const char* text : {R"({"service":"rondas","state":"drai)"
+                           "\xff"
+                           R"(ning"})",
+                           "}{", R"({"service":)"}) {
+    SCOPED_TRACE(testing::PrintToString(text));
+    world_.store().PutRawText("servers", "i-1", text);
+    Wait(kApplyTime);
+    int before = endpoints_[0]->arrivals();
+    for (int i = 1; i <= 2; ++i)
+      EXPECT_EQ(CountReached(i), 1U);
+    EXPECT_EQ(endpoints_[0]->arrivals(), before);
+    world_.store().Delete("servers", "i-1");
+    Wait(kApplyTime);
+    before = endpoints_[0]->arrivals();
+    for (int i = 1; i <= 2; ++i)
+      EXPECT_EQ(CountReached(i), 1U);
+    EXPECT_EQ(endpoints_[0]->arrivals(), before);
+    world_.Register(*endpoints_[0], "rondas");
+    for (int i = 1; i <= 2; ++i)
+      EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/platform/store_bodies_test.cc
+++ b/tests/platform/store_bodies_test.cc
@@ -59,6 +59,16 @@
   EXPECT_EQ(whole->as_of, 9U);
 }
 
+// Incident 031. As review/9.
+TEST(StoreBodiesTest, ObjectWhoseValueIsNoTextExists) {
+  const auto object = ReadObjectBody(
+      "k", R"({"metadata":{"name":"a","revision":3},"specification":")"
+           "\xff\"}");
+  ASSERT_TRUE(object);
+  EXPECT_EQ(object->name, "a");
+  EXPECT_EQ(object->value, "");
+}
+
 TEST(StoreBodiesTest, OtherBodiesAreNoPage) {
   for (const char* body : {"", "7", "[]", "{}", R"({"items":{}})"}) {
     EXPECT_FALSE(ReadPageBody("k", body)) << body;
