Use the first pages of a list whose later pages fail for good

Callers: if the store kept failing on a page after the first one, hosts that start never became ready, or refused all requests.

Cause: a failed call for a page started the list again from its first page, and nothing was used before all pages had been read.

Change: the same page is asked for again; after three failed calls the list counts as one that cannot go on, with what that means (see list_reading.h).

Tests: PagesThatFailForGoodDoNotStopService failed before (x86_64: 503); a unit test. ListsGoOnAfterAnyName now also has both kinds of stale lists.

--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -28,6 +28,7 @@
   const uint64_t position = PositionOf(page, freshness);
   list.as_of = list.pages == 0 ? position : std::min(list.as_of, position);
   ++list.pages;
+  list.failed_calls = 0;
   list.objects.insert(list.objects.end(),
                       std::make_move_iterator(page.objects.begin()),
                       std::make_move_iterator(page.objects.end()));
@@ -46,4 +47,11 @@
   return list.pages == 0 ? ListStep::kFailed : ListStep::kPartial;
 }
 
+ListStep OnFailedPageCall(ListReading& list) {
+  ++list.failed_calls;
+  return list.pages > 0 && list.failed_calls >= kMaxFailedPageCalls
+             ? ListStep::kPartial
+             : ListStep::kFailed;
+}
+
 }  // namespace sassafras
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -34,13 +34,18 @@
   uint64_t as_of = 0;
   size_t pages = 0;
   std::set<std::string> continued_after;
+  int failed_calls = 0;  // For the next page.
 };
 
+// Calls for a page after the first one that may fail before the list is taken
+// as one that cannot go on.
+inline constexpr int kMaxFailedPageCalls = 3;
+
 enum class ListStep {
   kReadOn,   // The next page must be read.
   kWhole,    // The list is complete.
   kPartial,  // The list cannot be read any further.
-  kFailed,   // Nothing could be read; the list must be tried again.
+  kFailed,   // The next page must be tried again.
 };
 
 template <>
@@ -58,6 +63,8 @@
 // The store has answered the call for the next page, but not with a page that
 // can be read.
 ListStep OnUnreadablePage(const ListReading& list);
+// The call for the next page was lost, or the store could not answer it.
+ListStep OnFailedPageCall(ListReading& list);
 
 }  // namespace sassafras
 
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -122,11 +122,15 @@
     PutAll(OddNames(), Json{{"service", 5}});
     if (endpoints_.empty())
       AddEndpoints(3);
+    // Both kinds of lists that may be stale.
+    world_.store().set_stale_lists(true);
+    world_.store().set_stale_lists_name_present_revision(page_size > 1);
     world_.PutConfig(static_cast<int>(page_size));
     StartHosts(kHosts);
     for (int i = 1; i <= kHosts; ++i)
       EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
     KillHosts(kHosts);
+    world_.store().set_stale_lists(false);
   }
 }
 
@@ -248,6 +252,23 @@
     EXPECT_TRUE(AllReachedWithin(seconds(5), i));
 }
 
+// Incident 031. As with entries that let the store fail on a page.
+TEST_F(EntryNamesTest, PagesThatFailForGoodDoNotStopService) {
+  world_.store().set_page_size(2);
+  AddEndpoints(4);
+  world_.PutConfig(1);
+  world_.store().set_later_pages_fail(true);
+  StartHosts(1);
+  EXPECT_EQ(CountReached(1), 2U);
+  AddEndpoints(1);
+  EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+    CountReached(1);
+    return !endpoints_.back()->runs().empty();
+  }));
+  world_.store().set_later_pages_fail(false);
+  EXPECT_TRUE(AllReachedWithin(seconds(5), 1));
+}
+
 // Incident 031. The name is sent in a header of each request to the endpoint.
 TEST_F(EntryNamesTest, RecordInOrderUnderAnOddNameAddsNoHeaders) {
   AddEndpoints(1);
--- a/tests/routing/list_reading_test.cc
+++ b/tests/routing/list_reading_test.cc
@@ -55,5 +55,16 @@
   EXPECT_EQ(list.objects.size(), 1U);
 }
 
+// Incident 031. A page that fails for good must not keep the others unused.
+TEST(ListReadingTest, PageIsTriedAgainAFewTimes) {
+  ListReading list;
+  for (int i = 0; i < 2 * kMaxFailedPageCalls; ++i)
+    EXPECT_EQ(OnFailedPageCall(list), ListStep::kFailed);
+  OnPage(list, Page("a", 3, 9), ListFreshness::kCurrent);
+  for (int i = 1; i < kMaxFailedPageCalls; ++i)
+    EXPECT_EQ(OnFailedPageCall(list), ListStep::kFailed);
+  EXPECT_EQ(OnFailedPageCall(list), ListStep::kPartial);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -212,6 +212,10 @@
 
 void PlatformStandinStore::AnswerList(const Session& session,
                                       const std::string& kind) {
+  if (later_pages_fail_ && session->Argument("after")) {
+    session->Respond(kHttpServiceUnavailable, {}, "");
+    return;
+  }
   Json items = Json::array();
   const bool is_stale = stale_ && session->Argument("stale-ok") == "1";
   const auto& objects = is_stale ? stale_->kinds[kind] : kinds_[kind];
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -55,6 +55,8 @@
   void DropHistory();
   // Lists are returned in pages of at most `n` objects.
   void set_page_size(size_t n) { page_size_ = n; }
+  // While set, calls for pages after the first one are answered 503.
+  void set_later_pages_fail(bool on) { later_pages_fail_ = on; }
   // Lists that may be stale show the state at the first of these calls, until
   // it is called with false.
   void set_stale_lists(bool stale);
@@ -125,6 +127,7 @@
   std::optional<Snapshot> stale_;  // What lists that may be stale show.
   bool stale_names_present_revision_ = false;
   size_t page_size_ = 500;
+  bool later_pages_fail_ = false;
   bool down_ = false;
   int down_status_ = 503;
   int calls_ = 0;
