Know the position of lists whose first page names no revision

Callers: with an entry whose text breaks the syntax of a list's first page, and history that the store has dropped, a host read the list again and again without a pause and had no endpoints.

Cause: the store names its revision behind the objects, so that such a page has none. The list then counted for no more than its oldest objects, and the watch from there was answered 410.

Change: a page without a revision is as new as the newest revision that an earlier list has shown.

Tests: the stand-in of the store writes the fields of lists and events in the documented order now; with it, ListGoesOnAfterEntriesWithoutANameOrWithBrokenText failed before (x86_64: 503) and holds now; a unit test.

--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -11,12 +11,16 @@
 // The revision up to which the page certainly includes all changes. A page
 // that may be stale may name the store's present revision, which its content
 // may not have; but it is as new as its newest object.
-uint64_t PositionOf(const ListPage& page, ListFreshness freshness) {
+uint64_t PositionOf(const ListReading& list,
+                    const ListPage& page,
+                    ListFreshness freshness) {
   if (freshness == ListFreshness::kCurrent && page.as_of > 0)
     return page.as_of;
   uint64_t newest = 0;
   for (const StoreObject& it : page.objects)
     newest = std::max(newest, it.revision);
+  if (freshness == ListFreshness::kCurrent)
+    return std::max(newest, list.begun_at);
   return page.as_of > 0 ? std::min(newest, page.as_of) : newest;
 }
 
@@ -25,8 +29,9 @@
 ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness) {
   // The list as a whole has the position of its oldest page, since it may lack
   // changes that the other pages include.
-  const uint64_t position = PositionOf(page, freshness);
+  const uint64_t position = PositionOf(list, page, freshness);
   list.as_of = list.pages == 0 ? position : std::min(list.as_of, position);
+  list.newest_as_of = std::max(list.newest_as_of, page.as_of);
   ++list.pages;
   list.failed_calls = 0;
   list.objects.insert(list.objects.end(),
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -32,6 +32,10 @@
   // Revision up to which the list certainly includes all changes; zero if
   // unknown.
   uint64_t as_of = 0;
+  // Revision that the store had reached before the list was begun; zero if
+  // unknown. Pages that name no revision are at least as new.
+  uint64_t begun_at = 0;
+  uint64_t newest_as_of = 0;  // Of the pages.
   size_t pages = 0;
   std::set<std::string> continued_after;
   int failed_calls = 0;  // For the next page.
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -206,6 +206,15 @@
   world_.PutConfig(1);
   StartHosts(1);
   EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+  // The first page begins with such an entry and names no revision.
+  world_.store().PutRawText("servers", "a", "}{");
+  Wait(milliseconds(300));
+  world_.store().DropHistory();
+  AddEndpoints(1);
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, 1));
+  const int calls = world_.store().calls();
+  Wait(milliseconds(1000));
+  EXPECT_LT(world_.store().calls() - calls, 40);
   // They appear in answers to watches.
   world_.store().PutRawText("servers", "i-1y", "}{");
   AddEndpoints(1);
--- a/tests/routing/list_reading_test.cc
+++ b/tests/routing/list_reading_test.cc
@@ -33,6 +33,17 @@
   EXPECT_EQ(list.as_of, 3U);
 }
 
+// Incident 031. Else the watch that follows could be refused for good.
+TEST(ListReadingTest, PageWithoutARevisionIsAsNewAsTheListsBegin) {
+  ListReading list;
+  list.begun_at = 7;
+  OnPage(list, Page("a", 3, 0), ListFreshness::kCurrent);
+  EXPECT_EQ(list.as_of, 7U);
+  OnPage(list, Page("b", 3, 9), ListFreshness::kCurrent);
+  EXPECT_EQ(list.as_of, 7U);
+  EXPECT_EQ(list.newest_as_of, 9U);
+}
+
 // Incident 031. Such a list was read without end, or taken for whole.
 TEST(ListReadingTest, ListThatCannotGoOnIsPartial) {
   ListReading circle;
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -222,12 +222,12 @@
   auto it = objects.upper_bound(session->Argument("after").value_or(""));
   for (; it != objects.end() && items.size() < page_size_; ++it)
     items.push_back(ObjectJson(it->first, it->second));
+  const uint64_t as_of =
+      is_stale && !stale_names_present_revision_ ? stale_->revision : revision_;
   session->Respond(kHttpOk, {},
-                   Dump({{"items", items},
-                         {"has-more", it != objects.end()},
-                         {"as-of", is_stale && !stale_names_present_revision_
-                                       ? stale_->revision
-                                       : revision_}}));
+                   R"({"items":)" + Dump(items) + R"(,"has-more":)" +
+                       (it != objects.end() ? "true" : "false") +
+                       R"(,"as-of":)" + std::to_string(as_of) + "}");
 }
 
 bool PlatformStandinStore::TryAnswerWatch(PendingWatch& watch) {
@@ -240,7 +240,8 @@
     return false;
   watch.session->set_on_disconnect(nullptr);
   watch.session->Respond(kHttpOk, {},
-                         Dump({{"events", events}, {"as-of", revision_}}));
+                         R"({"events":)" + Dump(events) + R"(,"as-of":)" +
+                             std::to_string(revision_) + "}");
   return true;
 }
 
