--- a/src/base/http_fields.cc
+++ b/src/base/http_fields.cc
@@ -14,7 +14,7 @@
 }
 
 bool IsControl(char c) {
-  return (c >= 0 && c < ' ') || c == '\x7f';
+  return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
 }
 
 bool IsBlank(char c) {
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -59,7 +59,7 @@
 }
 
 bool IsControl(char c) {
-  return (c >= 0 && c < ' ') || c == '\x7f';
+  return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
 }
 
 bool NeedsQuotes(char c) {
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -129,6 +129,23 @@
                       });
 }
 
+// The names of all objects that the sender of `span` knows; `items` are those
+// of the span. Nothing if the span does not tell.
+std::optional<std::set<std::string>> NamesIn(
+    const CacheSpan& span,
+    const std::vector<CacheItem>& items) {
+  if (span.is_list)
+    return std::set<std::string>(span.names.begin(), span.names.end());
+  if (span.from > 0 || span.is_partial)
+    return std::nullopt;
+  std::set<std::string> names;
+  for (const CacheItem& it : items) {
+    if (!it.removed)
+      names.insert(it.name);
+  }
+  return names;
+}
+
 // Adds the changes of `kind` after revision `from` to the push.
 void AddSpan(const std::string& name,
              const CachedKind& kind,
@@ -201,27 +218,6 @@
   return applied;
 }
 
-namespace {
-
-// The names of all objects that the sender of `span` knows; `items` are those
-// of the span. Nothing if the span does not tell.
-std::optional<std::set<std::string>> NamesIn(
-    const CacheSpan& span,
-    const std::vector<CacheItem>& items) {
-  if (span.is_list)
-    return std::set<std::string>(span.names.begin(), span.names.end());
-  if (span.from > 0 || span.is_partial)
-    return std::nullopt;
-  std::set<std::string> names;
-  for (const CacheItem& it : items) {
-    if (!it.removed)
-      names.insert(it.name);
-  }
-  return names;
-}
-
-}  // namespace
-
 std::vector<CacheItem> ApplyPush(StoreCache& cache, const CachePush& push) {
   std::map<std::string, std::vector<CacheItem>> by_kind;
   for (const CacheItem& it : push.items)
@@ -232,6 +228,7 @@
     if (it == cache.kinds.end())
       continue;
     CachedKind& kind = it->second;
+    // A span from the beginning shows what this cache lacks.
     if (kind.is_partial && !span.is_partial && span.from > 0) {
       kind.as_of = 0;
       continue;
