--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -330,6 +330,29 @@
   }
 }
 
+// Incident 031.
+TEST_F(EntryNamesTest, RecordInOrderUnderAnOddNameGetsNoRequests) {
+  world_.store().set_page_size(5);
+  AddEndpoints(2);
+  // They answer requests for other ids with 421.
+  PlatformStandinEndpoint& foreign = world_.AddEndpoint("bitacora");
+  foreign.set_behavior(StandinBehavior::kMisdirected);
+  for (const char* c : {"&", "+", "#", "%", " "}) {
+    for (const std::string it : {std::string("i-1") + c, "a" + std::string(c)})
+      world_.store().Put("servers", it, foreign.Record("rondas", "cuyo-a"));
+  }
+  world_.PutConfig(1);
+  StartHosts(1);
+  WaitUntilHostsAreKnown();
+  for (int i = 0; i < 100; ++i) {
+    const std::string id = "o" + std::to_string(i);
+    EXPECT_EQ(StatusAt(1, RequestText("GET", "/read/" + id, id,
+                                      "Cookie: Affinity-Key=" + id + "\r\n")),
+              200);
+  }
+  EXPECT_EQ(foreign.arrivals(), 0);
+}
+
 // Incident 031. Under a name that is no text the process ended.
 TEST_F(EntryNamesTest, StateAndMetricsShowAnyName) {
   AddEndpoints(1);
