Send lost changes of one kind again while other kinds move

Cause: a relay kept one time of progress for all kinds of objects. While the records of endpoints change, a follower makes progress all the time, so that a lost push of the configuration was never taken for lost.

Change: progress, loss and what is sent again are judged kind by kind.

Test: LostPushIsSentAgainWhileOtherKindsMove.

--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -281,16 +281,22 @@
   CacheFollower& it = entry->second;
   it.heard = now;
   // A follower's positions only decrease when it restarts.
-  const bool has_restarted = IsAheadOf(it.acked, follow);
-  const bool has_moved = is_new || has_restarted || IsAheadOf(follow, it.acked);
-  const bool needs_resend =
-      !has_moved && now - it.progressed_at >= kPushRetryDelay;
-  it.acked = follow;
-  if (has_moved || needs_resend)
-    it.progressed_at = now;
-  const CacheFollow known = is_new || has_restarted || needs_resend
-                                ? follow
-                                : MaxPositions(follow, it.sent);
+  const bool starts_anew = is_new || IsAheadOf(it.acked, follow);
+  const CacheFollow acked = std::exchange(it.acked, follow);
+  CacheFollow known = PositionsOf(cache);
+  for (CachePosition& position : known.positions) {
+    const uint64_t has = PositionOf(follow, position.kind);
+    const bool has_moved =
+        starts_anew || has != PositionOf(acked, position.kind);
+    // Progress on other kinds does not show that this kind's push arrived.
+    const bool is_lost =
+        !has_moved && now - it.progressed_at[position.kind] >= kPushRetryDelay;
+    if (has_moved || is_lost)
+      it.progressed_at[position.kind] = now;
+    position.as_of = starts_anew || is_lost
+                         ? has
+                         : std::max(has, PositionOf(it.sent, position.kind));
+  }
   it.sent = MaxPositions(PositionsOf(cache), known);
   return MakePush(cache, known, unreliable_for);
 }
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -87,16 +87,18 @@
 
 // A host that follows this one.
 struct CacheFollower {
-  CacheFollow acked;   // Its positions, by its last follow message.
-  CacheFollow sent;    // Its positions if no push was lost.
-  Time heard;          // When its last follow message arrived.
-  Time progressed_at;  // When `acked` last changed, or changes were sent again.
+  CacheFollow acked;  // Its positions, by its last follow message.
+  CacheFollow sent;   // Its positions if no push was lost.
+  Time heard;         // When its last follow message arrived.
+  // By kind: when its position in `acked` last changed, or the changes after it
+  // were sent again.
+  std::map<std::string, Time> progressed_at;
 };
 
 // A follower that sends no follow message for this long is dropped.
 inline constexpr Duration kFollowerTimeout = std::chrono::seconds(3);
-// If a follower makes no progress for this long, a push is taken as lost and
-// sent again. Covers two follow messages.
+// If a follower makes no progress on a kind for this long, a push is taken as
+// lost and the kind's changes are sent again. Covers two follow messages.
 inline constexpr Duration kPushRetryDelay = std::chrono::milliseconds(700);
 
 using CacheFollowers = std::unordered_map<HostId, CacheFollower>;
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -114,6 +114,42 @@
   EXPECT_EQ(later.items[0].value, "2");
 }
 
+// Incident 032.
+TEST(StoreCacheTest, LostPushIsSentAgainWhileOtherKindsMove) {
+  StoreCache relay = MakeStoreCache({"config", "endpoints"});
+  StoreCache host = MakeStoreCache({"config", "endpoints"});
+  CacheFollowers followers;
+  uint64_t revision = 10;
+  Time now = kStart;
+  const auto put = [&](const char* kind) {
+    ++revision;
+    ApplyStoreChange(relay, kind, Change({kind, "a", revision, "v"}, revision));
+  };
+  const auto follow = [&] {
+    ApplyPush(host, OnFollow(followers, relay, kFollower, PositionsOf(host),
+                             Duration(0), now));
+  };
+  put("config");
+  put("endpoints");
+  follow();
+  follow();
+  put("config");
+  const uint64_t wanted = revision;
+  PushToAll(followers, relay, Duration(0), now);  // Lost.
+  const Time lost_at = now;
+  while (host.kinds["config"].as_of < wanted && now - lost_at < seconds(20)) {
+    now += milliseconds(100);
+    put("endpoints");
+    for (const AddressedPush& it :
+         PushToAll(followers, relay, Duration(0), now))
+      ApplyPush(host, it.push);
+    if ((now - lost_at) % milliseconds(400) == Duration(0))
+      follow();
+  }
+  // Two follow messages after the push counts as lost.
+  EXPECT_LE(now - lost_at, kPushRetryDelay + milliseconds(800));
+}
+
 // Regression test: a host restarted during a rolling release of endpoints. Its
 // relay assumed that the host had received the steady stream of changes, and
 // did not send again what the host had lost.
