--- a/src/app/entry_process.cc
+++ b/src/app/entry_process.cc
@@ -249,7 +249,7 @@
       return;
     for (const DocumentKind kind : kAllDocumentKinds) {
       store_watches_.push_back(store_->Follow(
-          std::string(NameOf(kind)), 0, [this, kind](StoreChange change) {
+          std::string(NameOf(kind)), {}, [this, kind](StoreChange change) {
             HandleEvent(
                 StoreObjects{kind, std::move(change.objects), change.complete});
           }));
--- a/src/base/http_client.cc
+++ b/src/base/http_client.cc
@@ -64,6 +64,13 @@
   return status;
 }
 
+std::string HttpTransfer::Field(const char* name) const {
+  curl_header* field = nullptr;
+  const bool is_found =
+      curl_easy_header(easy, name, 0, CURLH_HEADER, -1, &field) == CURLHE_OK;
+  return is_found ? field->value : "";
+}
+
 void HttpTransfer::SetTimeout(Duration timeout) {
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(Millis(timeout)));
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -33,6 +33,8 @@
 
   // HTTP status of the response; zero if there was none.
   long Status() const;
+  // Value of a field of the response's head; empty if there is none.
+  std::string Field(const char* name) const;
   // Limits the whole transfer, including the connection setup.
   void SetTimeout(Duration timeout);
   // Sets the method and a JSON request body.
--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -187,24 +187,65 @@
                                    refused,
                                    records)
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CachePosition, kind, as_of)
+// Writes the position as two fields. Hosts of earlier versions know only the
+// one for the revision; era zero is left out.
+inline void WritePosition(Json& json,
+                          const char* revision_field,
+                          const char* era_field,
+                          const StorePosition& position) {
+  json[revision_field] = position.revision();
+  if (position.era() > 0)
+    json[era_field] = position.era();
+}
+
+inline StorePosition ReadPosition(const Json& json,
+                                  const char* revision_field,
+                                  const char* era_field) {
+  return {json.value(era_field, uint64_t{0}),
+          json.at(revision_field).get<uint64_t>()};
+}
+
+inline void to_json(Json& json, const CachePosition& position) {
+  json = {{"kind", position.kind}};
+  WritePosition(json, "as_of", "era", position.as_of);
+}
+
+inline void from_json(const Json& json, CachePosition& position) {
+  json.at("kind").get_to(position.kind);
+  position.as_of = ReadPosition(json, "as_of", "era");
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CacheFollow, positions)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CacheItem,
-                                   kind,
-                                   name,
-                                   revision,
-                                   removed,
-                                   value)
+
+inline void to_json(Json& json, const CacheItem& item) {
+  json = {{"kind", item.kind},
+          {"name", item.name},
+          {"removed", item.removed},
+          {"value", item.value}};
+  WritePosition(json, "revision", "era", item.position);
+}
+
+inline void from_json(const Json& json, CacheItem& item) {
+  json.at("kind").get_to(item.kind);
+  json.at("name").get_to(item.name);
+  json.at("removed").get_to(item.removed);
+  json.at("value").get_to(item.value);
+  item.position = ReadPosition(json, "revision", "era");
+}
+
 inline void to_json(Json& json, const CacheSpan& span) {
-  json = {{"kind", span.kind},   {"from", span.from},
-          {"as_of", span.as_of}, {"is_list", span.is_list},
-          {"names", span.names}, {"is_partial", span.is_partial}};
+  json = {{"kind", span.kind},
+          {"is_list", span.is_list},
+          {"names", span.names},
+          {"is_partial", span.is_partial}};
+  WritePosition(json, "from", "from_era", span.from);
+  WritePosition(json, "as_of", "era", span.as_of);
 }
 
 inline void from_json(const Json& json, CacheSpan& span) {
   json.at("kind").get_to(span.kind);
-  json.at("from").get_to(span.from);
-  json.at("as_of").get_to(span.as_of);
+  span.from = ReadPosition(json, "from", "from_era");
+  span.as_of = ReadPosition(json, "as_of", "era");
   json.at("is_list").get_to(span.is_list);
   json.at("names").get_to(span.names);
   // Relays of earlier versions have whole lists only.
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -17,6 +17,7 @@
 #include "base/priority.h"
 #include "decisions/documents.h"
 #include "decisions/shard_views.h"
+#include "decisions/store_position.h"
 #include "decisions/topology.h"
 
 namespace sassafras {
@@ -333,10 +334,10 @@
   std::vector<RecordRevision> records;
 };
 
-// Store revision up to which a kind is known; 0 if it is not known at all.
+// Position in the store up to which a kind is known.
 struct CachePosition {
   std::string kind;
-  uint64_t as_of = 0;
+  StorePosition as_of;
 };
 
 // Asks a relay for the changes of the store since these positions. Repeated
@@ -347,21 +348,24 @@
 };
 
 // A store object forwarded by a relay. A removed object has `removed` set and
-// no value; its revision is one at which it no longer existed.
+// no value; its position is one at which it no longer existed.
 struct CacheItem {
   std::string kind;
   std::string name;
-  uint64_t revision = 0;
+  StorePosition position;
   bool removed = false;
   std::string value;
+  // The change was met together with a new era, so that it may only show that
+  // the store's copy is older. Not sent to other hosts.
+  bool is_restored = false;
 };
 
-// Revisions of a kind that a push covers: the changes after revision `from`
-// up to and including `as_of`.
+// Positions of a kind that a push covers: the changes after `from` up to and
+// including `as_of`.
 struct CacheSpan {
   std::string kind;
-  uint64_t from = 0;
-  uint64_t as_of = 0;
+  StorePosition from;
+  StorePosition as_of;
   // Not all removals are known: every object that is not in `names` was
   // removed.
   bool is_list = false;
--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -11,6 +11,7 @@
 #include "base/names_table.h"
 #include "base/time.h"
 #include "decisions/documents.h"
+#include "decisions/store_position.h"
 
 namespace sassafras {
 
@@ -54,7 +55,7 @@
 enum class ListFreshness {
   kCurrent,  // All that was written before the call.
   // May be seconds old; cheaper, if the store has replicas. Its `as_of` is the
-  // revision of the newest object on its oldest page.
+  // position of the newest object on its oldest page.
   kMayBeStale,
 };
 
@@ -78,7 +79,9 @@
 struct StoreChange {
   std::vector<StoreObject> objects;
   bool complete = false;
-  uint64_t as_of = 0;  // The store revision up to which changes are included.
+  // Up to which changes are included. Its era is also that of the objects'
+  // revisions.
+  StorePosition as_of;
   // The objects of a list that could not be read to its end, so that others may
   // exist. Never set together with `complete`.
   bool is_partial_list = false;
@@ -88,8 +91,9 @@
   StoreStatus status = StoreStatus::kUnavailable;
   // The objects read or written; after a conflict, the current object.
   std::vector<StoreObject> objects;
-  // For a list: the store revision that it reflects; zero if unknown.
-  uint64_t as_of = 0;
+  // For a list: the position that it reflects. Its era is also that of the
+  // objects' revisions.
+  StorePosition as_of;
   // For a list: it could not be read to its end, so that other objects may
   // exist.
   bool is_partial = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -177,7 +177,9 @@
     add("gateway_config_version", state_.members.self.config_version);
     for (const CachePosition& it : state_.source.positions) {
       text += "gateway_store_position{kind=\"" + it.kind + "\"} " +
-              std::to_string(it.as_of) + '\n';
+              std::to_string(it.as_of.revision()) + '\n';
+      text += "gateway_store_era{kind=\"" + it.kind + "\"} " +
+              std::to_string(it.as_of.era()) + '\n';
     }
     add("gateway_log_lines_dropped_total", DroppedLogLines());
     return text;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -34,7 +34,7 @@
 struct StateSource {
   std::string feed = "none";   // A name of FeedSource.
   std::vector<HostId> relays;  // That this host follows.
-  // The revision up to which its cache includes all changes, by kind of object.
+  // Up to which its cache includes all changes, by kind of object.
   std::vector<CachePosition> positions;
 };
 
--- a/src/gateway/state_dump.cc
+++ b/src/gateway/state_dump.cc
@@ -60,7 +60,8 @@
 Json DumpSource(const StateSource& it) {
   Json positions = Json::object();
   for (const CachePosition& position : it.positions)
-    positions[position.kind] = position.as_of;
+    positions[position.kind] = Json{{"era", position.as_of.era()},
+                                    {"revision", position.as_of.revision()}};
   return Json{
       {"feed", it.feed}, {"relays", it.relays}, {"positions", positions}};
 }
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -18,11 +18,14 @@
 // How often a host that follows relays probes a store that it could not reach.
 constexpr Duration kLostStoreProbeInterval = std::chrono::milliseconds(1200);
 constexpr Duration kOwnHostRetryDelay = std::chrono::seconds(2);
+// In a new era, hosts write their records again within this time for each of
+// them, at random, so that all together stay below the store's limit.
+constexpr Duration kOwnHostWriteInterval = std::chrono::milliseconds(10);
 
 constexpr char kMeshDeployment[] = "gateway";
 
 StoreObject ObjectOf(const CacheItem& item) {
-  return {item.kind, item.name, item.revision, item.value};
+  return {item.kind, item.name, item.position.revision(), item.value};
 }
 
 void LogChange(const EndpointChange& change) {
@@ -142,13 +145,21 @@
 
 void StoreCacheFeed::OnFirstList(const std::string& kind,
                                  const StoreReply& list) {
-  const uint64_t known = table_.kinds[kind].as_of;
+  const StorePosition known = table_.kinds[kind].as_of;
   // The objects of a partial list give the host no position: others may know
   // the whole list and send it.
-  if (list.is_partial && known == 0)
-    OnStoreChange(kind, {list.objects, false, 0, true});
-  else if (!list.is_partial && list.as_of > known)
+  if (list.is_partial && !known.is_known()) {
+    OnStoreChange(
+        kind, {list.objects, false, StorePosition(list.as_of.era(), 0), true});
+  } else if (!list.is_partial && list.as_of > known) {
     OnStoreChange(kind, {list.objects, true, list.as_of});
+  } else {
+    LogLine(LogLevel::kInfo, "beliefs", "Did not use a list from the store.")
+        .With("kind", kind)
+        .With("is_partial", list.is_partial)
+        .With("as_of", list.as_of)
+        .With("known", known);
+  }
 }
 
 // A host sends by its first configuration and evacuations, which must not be
@@ -163,10 +174,11 @@
 void StoreCacheFeed::OnStoreChange(const std::string& kind,
                                    const StoreChange& change) {
   OnCallEnded(StoreStatus::kOk);
-  const uint64_t before = table_.kinds[kind].as_of;
+  const StorePosition before = table_.kinds[kind].as_of;
   const auto new_items = ApplyStoreChange(table_, kind, change);
   if (change.complete || change.is_partial_list)
     LogList(kind, change, before, new_items.size());
+  OnNewEra(kind, before, "store");
   ApplyItems(new_items, "store");
   if (new_items.empty() || !IsComplete(table_))
     return;
@@ -178,7 +190,7 @@
 // `newest_revision` is what the objects themselves show of the list's position.
 void StoreCacheFeed::LogList(const std::string& kind,
                              const StoreChange& list,
-                             uint64_t before,
+                             const StorePosition& before,
                              size_t changed) const {
   uint64_t newest = 0;
   for (const StoreObject& it : list.objects)
@@ -189,10 +201,42 @@
       .With("as_of", list.as_of)
       .With("newest_revision", newest)
       .With("before", before)
+      .With("is_used", !list.complete || list.as_of >= before)
       .With("objects", list.objects.size())
       .With("changed", changed);
 }
 
+void StoreCacheFeed::OnNewEra(const std::string& kind,
+                              const StorePosition& before,
+                              const std::string& source) {
+  const StorePosition& as_of = table_.kinds[kind].as_of;
+  if (!before.is_known() || as_of.era() <= before.era())
+    return;
+  const Time now = state_.loop.Now();
+  LogLine(LogLevel::kWarning, "beliefs",
+          "The store came back from an older copy; its list replaces the "
+          "cached one.")
+      .With("kind", kind)
+      .With("before", before)
+      .With("as_of", as_of)
+      .With("source", source)
+      .With("config", state_.config ? state_.config->version : 0)
+      .With("state_age_ms", StateAgeMs());
+  // Records that were written after the copy are missing until they are
+  // renewed.
+  MarkRegistryUnreliable(state_.endpoints, now);
+  if (as_of.era() <= own_host_era_)
+    return;
+  own_host_era_ = as_of.era();
+  const auto hosts =
+      static_cast<int64_t>(KnownHostHashes(state_.members).size());
+  std::uniform_int_distribution<int64_t> delay(
+      0, hosts * Millis(kOwnHostWriteInterval));
+  own_host_retry_ =
+      state_.loop.After(std::chrono::milliseconds(delay(state_.random)),
+                        [this] { WriteOwnHost(); });
+}
+
 void StoreCacheFeed::OnCallEnded(StoreStatus status) {
   const Time now = state_.loop.Now();
   OnActivity(state_.freshness, now);
@@ -205,7 +249,7 @@
 void StoreCacheFeed::FollowStore() {
   followed_at_.clear();
   for (const auto& [kind, known] : table_.kinds) {
-    const uint64_t from = known.is_partial ? 0 : known.as_of;
+    const StorePosition from = known.is_partial ? StorePosition() : known.as_of;
     store_watches_.push_back(store_->Follow(
         kind, from, [this, name = kind](const StoreChange& change) {
           OnStoreChange(name, change);
@@ -257,13 +301,20 @@
   const Time now = state_.loop.Now();
   OnActivity(state_.freshness, now);
   OnHostHeard(state_.freshness, now);
-  OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
-               std::chrono::milliseconds(push.doubt_ms), now);
+  // A relay that has not met the store's era counts as one that lost the store.
+  if (!IsOfEarlierEra(table_, push)) {
+    OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
+                 std::chrono::milliseconds(push.doubt_ms), now);
+  }
   // A host that follows the store sees by itself whether the store answers.
   if (choice_.source == FeedSource::kRelays)
     ExtendRegistryUnreliable(state_.endpoints, MinUnreliableFor(choice_, now),
                              now);
-  ApplyItems(ApplyPush(table_, push), from.value());
+  const CacheFollow before = PositionsOf(table_);
+  const auto new_items = ApplyPush(table_, push);
+  for (const CachePosition& it : before.positions)
+    OnNewEra(it.kind, it.as_of, from.value());
+  ApplyItems(new_items, from.value());
   if (push.state_age_ms < kUnknownStateAgeMs && IsUpToDate(table_, push))
     Confirm(from.value(), std::chrono::milliseconds(push.state_age_ms));
 }
@@ -330,6 +381,14 @@
   state_.pool.CloseExpired();
   ExpireUnansweredSends(state_.unanswered_sends, now);
   ExpireNotices(state_.endpoints, now);
+  for (const CacheItem& it : TakeDueItems(restored_, now)) {
+    LogLine(LogLevel::kWarning, "beliefs",
+            "Nobody wrote an object again; the store's copy holds.")
+        .With("kind", it.kind)
+        .With("name", it.name)
+        .With("position", it.position);
+    ApplyItems({it}, "copy");
+  }
 }
 
 void StoreCacheFeed::ApplyChanges(const std::vector<EndpointChange>& changes) {
@@ -345,8 +404,9 @@
 void StoreCacheFeed::ApplyItems(const std::vector<CacheItem>& items,
                                 const std::string& source) {
   for (const CacheItem& it : items) {
+    DropHeldItem(restored_, it);
     if (it.kind == platform::kEndpointKind)
-      ApplyEndpoint(it);
+      ApplyEndpoint(it, source);
     else if (it.kind == platform::kConfigKind)
       ApplyConfig(it, source);
     else if (it.kind == platform::kEvacuationKind)
@@ -365,7 +425,19 @@
   on_complete_();
 }
 
-void StoreCacheFeed::ApplyEndpoint(const CacheItem& item) {
+void StoreCacheFeed::Hold(const CacheItem& item, const std::string& source) {
+  LogLine(LogLevel::kWarning, "beliefs",
+          "The store's copy takes back what was acknowledged; waiting.")
+      .With("kind", item.kind)
+      .With("name", item.name)
+      .With("removed", item.removed)
+      .With("position", item.position)
+      .With("source", source);
+  HoldItem(restored_, item, state_.loop.Now());
+}
+
+void StoreCacheFeed::ApplyEndpoint(const CacheItem& item,
+                                   const std::string& source) {
   const Time now = state_.loop.Now();
   if (item.removed) {
     ApplyChanges(ApplyRemoval(state_.endpoints, EndpointId(item.name), now));
@@ -375,7 +447,10 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(record, platform::DecodeEndpoint(
                                     ObjectOf(item), state_.settings.regions));
-        ApplyChanges(ApplyRecord(state_.endpoints, record, now));
+        if (item.is_restored && UndoesLeaving(state_.endpoints, record))
+          Hold(item, source);
+        else
+          ApplyChanges(ApplyRecord(state_.endpoints, record, now));
         return {};
       },
       [&](const Error& e) {
@@ -412,7 +487,7 @@
                    : "Ignored a configuration that is not newer.")
       .With("version", config->version)
       .With("before", before)
-      .With("revision", item.revision)
+      .With("position", item.position)
       .With("source", source)
       .With("state_age_ms", StateAgeMs());
   if (!is_newer)
@@ -425,11 +500,15 @@
 void StoreCacheFeed::ApplyEvacuation(const CacheItem& item,
                                      const std::string& source) {
   const ZoneId zone(item.name);
+  if (item.is_restored && item.removed) {
+    Hold(item, source);
+    return;
+  }
   LogLine(LogLevel::kInfo, "endpoints",
           item.removed ? "Evacuation of an availability zone ended."
                        : "Evacuation of an availability zone started.")
       .With("zone", zone)
-      .With("revision", item.revision)
+      .With("position", item.position)
       .With("source", source);
   if (!item.removed) {
     SetEvacuated(state_.endpoints, zone);
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -17,6 +17,7 @@
 #include "gateway/gateway_state.h"
 #include "peers/peers.h"
 #include "routing/relay_choice.h"
+#include "routing/restored_state.h"
 #include "routing/store_cache.h"
 #include "store/store.h"
 
@@ -56,8 +57,13 @@
   void RecordFeedChoice();
   void LogList(const std::string& kind,
                const StoreChange& list,
-               uint64_t before,
+               const StorePosition& before,
                size_t changed) const;
+  // To be called before the changes of `kind` are applied, if its cache has
+  // met a new era.
+  void OnNewEra(const std::string& kind,
+                const StorePosition& before,
+                const std::string& source);
   // Time since the state was last confirmed; -1 if it was not since the start.
   int64_t StateAgeMs() const;
   void OnMessage(const HostId& from, const Message& message);
@@ -67,7 +73,9 @@
   // `source`: the relay that sent them, or "store".
   void ApplyItems(const std::vector<CacheItem>& items,
                   const std::string& source);
-  void ApplyEndpoint(const CacheItem& item);
+  // Lets a change by an older copy of the store wait for its owner.
+  void Hold(const CacheItem& item, const std::string& source);
+  void ApplyEndpoint(const CacheItem& item, const std::string& source);
   void ApplyConfig(const CacheItem& item, const std::string& source);
   void ApplyEvacuation(const CacheItem& item, const std::string& source);
   void ApplyChanges(const std::vector<EndpointChange>& changes);
@@ -89,6 +97,7 @@
   std::unique_ptr<Mesh> mesh_;
   StoreCache table_;
   CacheFollowers followers_;
+  RestoredState restored_;
   FeedChoice choice_;
   Time started_;
   Time last_store_answer_;  // From the store to this host.
@@ -99,6 +108,8 @@
   std::map<std::string, Time> followed_at_;
   std::unique_ptr<Watch> tick_;
   std::unique_ptr<Watch> own_host_retry_;
+  // The latest era in which this host's own record was written.
+  uint64_t own_host_era_ = 0;
   bool is_complete_ = false;
   bool is_probing_ = false;
   bool store_reachable_ = true;
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -40,6 +40,7 @@
 EndpointChange Drop(EndpointSet& set, const EndpointPtr& endpoint, Time now) {
   EndpointChange change = SetState(endpoint, EndpointState::kGone, now);
   RemoveFromService(set, endpoint);
+  set.ended[endpoint->incarnation] = now;
   set.by_id.erase(endpoint->record.id);
   return change;
 }
@@ -50,8 +51,7 @@
   auto endpoint = std::make_shared<EndpointView>();
   endpoint->record = record;
   endpoint->hash = HashText(record.id.value());
-  endpoint->incarnation =
-      HashPair(endpoint->hash, static_cast<uint64_t>(record.started_at_ms));
+  endpoint->incarnation = IncarnationOf(record);
   endpoint->notice = NoticeOf(notices, endpoint->incarnation);
   endpoint->is_resuming = IsBackingOff(endpoint->notice, now);
   endpoint->state =
@@ -98,6 +98,11 @@
 
 }  // namespace
 
+uint64_t IncarnationOf(const EndpointRecord& record) {
+  return HashPair(HashText(record.id.value()),
+                  static_cast<uint64_t>(record.started_at_ms));
+}
+
 std::vector<EndpointChange> ApplyRecord(EndpointSet& set,
                                         const EndpointRecord& record,
                                         Time now) {
@@ -114,6 +119,7 @@
   const auto known = set.by_id.find(record.id);
   if (known == set.by_id.end()) {
     const EndpointPtr endpoint = MakeEndpoint(set.notices, record, now);
+    set.ended.erase(endpoint->incarnation);
     set.by_id[record.id] = endpoint;
     AddToService(set, endpoint);
     changes.push_back({endpoint, endpoint->state, true});
@@ -279,6 +285,10 @@
 }
 
 void ExpireNotices(EndpointSet& set, Time now) {
+  for (auto it = set.ended.begin(); it != set.ended.end();) {
+    it = now - it->second >= kEndedLifetime ? set.ended.erase(it)
+                                            : std::next(it);
+  }
   auto& entries = set.notices.by_incarnation;
   if (entries.empty())
     return;
--- a/src/routing/endpoint_set.h
+++ b/src/routing/endpoint_set.h
@@ -112,11 +112,20 @@
   std::unordered_map<ServiceId, std::vector<EndpointPtr>> by_service;
   std::set<ZoneId> evacuated;
   EndpointNotices notices;
+  // Incarnations that have ended, and when. See kEndedLifetime.
+  std::unordered_map<uint64_t, Time> ended;
   // Before this time, a missing record does not prove that its endpoint has
   // left.
   Time registry_unreliable_until;
 };
 
+// How long an incarnation that has ended is remembered: longer than a copy of
+// the store, from which it could come back, is old.
+inline constexpr Duration kEndedLifetime = std::chrono::seconds(60);
+
+// Identifies the endpoint and its start, the same on all hosts.
+uint64_t IncarnationOf(const EndpointRecord& record);
+
 // An endpoint whose record is still missing this long after the registry became
 // reachable again is taken as gone.
 inline constexpr Duration kMissingRecordGracePeriod =
@@ -240,7 +249,8 @@
                               Time now);
 
 // Removes the notices of backoffs that are over, and of leavings of
-// incarnations that are not in the set after kLeavingLifetime.
+// incarnations that are not in the set after kLeavingLifetime. Forgets
+// incarnations that ended longer than kEndedLifetime ago.
 void ExpireNotices(EndpointSet& set, Time now);
 
 inline bool IsCold(const EndpointView& endpoint, Time now) {
--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -8,28 +8,34 @@
 
 namespace {
 
-// The revision up to which the page certainly includes all changes. A page
+// Up to which the page certainly includes all changes. A page
 // that may be stale may name the store's present revision, which its content
 // may not have; but it is as new as its newest object.
-uint64_t PositionOf(const ListReading& list,
-                    const ListPage& page,
-                    ListFreshness freshness) {
-  if (freshness == ListFreshness::kCurrent && page.as_of > 0)
+StorePosition PositionOf(const ListReading& list,
+                         const ListPage& page,
+                         ListFreshness freshness) {
+  if (freshness == ListFreshness::kCurrent && page.as_of.is_known())
     return page.as_of;
-  uint64_t newest = 0;
+  uint64_t newest_revision = 0;
   for (const StoreObject& it : page.objects)
-    newest = std::max(newest, it.revision);
+    newest_revision = std::max(newest_revision, it.revision);
+  const StorePosition newest(page.as_of.era(), newest_revision);
   if (freshness == ListFreshness::kCurrent)
     return std::max(newest, list.begun_at);
-  return page.as_of > 0 ? std::min(newest, page.as_of) : newest;
+  return page.as_of.is_known() ? std::min(newest, page.as_of) : newest;
 }
 
 }  // namespace
 
 ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness) {
+  // Pages of two eras are no state that the store ever had.
+  if (list.pages > 0 && page.as_of.era() != list.as_of.era()) {
+    list = {};
+    return ListStep::kRestart;
+  }
   // The list as a whole has the position of its oldest page, since it may lack
   // changes that the other pages include.
-  const uint64_t position = PositionOf(list, page, freshness);
+  const StorePosition position = PositionOf(list, page, freshness);
   list.as_of = list.pages == 0 ? position : std::min(list.as_of, position);
   list.newest_as_of = std::max(list.newest_as_of, page.as_of);
   ++list.pages;
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -22,20 +22,22 @@
   // cannot be read. Empty if there is none.
   std::string last_name;
   bool has_more = false;
-  uint64_t as_of = 0;  // The store's revision; zero if it cannot be read.
+  // The store's position; of its era, but unknown, if it cannot be read. Its
+  // era is also that of the objects' revisions.
+  StorePosition as_of;
 };
 
 // A list of which some pages have been read.
 struct ListReading {
   std::vector<StoreObject> objects;
   std::string after;  // The next page begins after this name.
-  // Revision up to which the list certainly includes all changes; zero if
-  // unknown.
-  uint64_t as_of = 0;
-  // Revision that the store had reached before the list was begun; zero if
-  // unknown. Pages that name no revision are at least as new.
-  uint64_t begun_at = 0;
-  uint64_t newest_as_of = 0;  // Of the pages.
+  // Up to which the list certainly includes all changes. All pages are of its
+  // era.
+  StorePosition as_of;
+  // Position that the store had reached before the list was begun. Pages that
+  // name no revision are at least as new.
+  StorePosition begun_at;
+  StorePosition newest_as_of;  // Of the pages.
   size_t pages = 0;
   std::set<std::string> continued_after;
   int failed_calls = 0;  // For the next page.
@@ -50,15 +52,15 @@
   kWhole,    // The list is complete.
   kPartial,  // The list cannot be read any further.
   kFailed,   // The next page must be tried again.
+  kRestart,  // The store began a new era; the list must be read anew.
 };
 
 template <>
 struct NamesTable<ListStep> {
   static constexpr EnumName<ListStep> kNames[] = {
-      {ListStep::kReadOn, "read_on"},
-      {ListStep::kWhole, "whole"},
-      {ListStep::kPartial, "partial"},
-      {ListStep::kFailed, "failed"},
+      {ListStep::kReadOn, "read_on"},  {ListStep::kWhole, "whole"},
+      {ListStep::kPartial, "partial"}, {ListStep::kFailed, "failed"},
+      {ListStep::kRestart, "restart"},
   };
 };
 
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -9,21 +9,50 @@
 
 namespace {
 
+// Whether the cache meets the era of `position` with it.
+bool MeetsNewEra(const CachedKind& kind, const StorePosition& position) {
+  return kind.as_of.is_known() && kind.as_of.era() < position.era();
+}
+
 // Applies one item; returns false if it does not change the cache.
 bool ApplyItem(CachedKind& kind, const CacheItem& item) {
   const auto it = kind.objects.find(item.name);
   if (item.removed) {
     // A lagging relay may report a removal after which the object was created
     // again.
-    if (it == kind.objects.end() || item.revision < it->second.revision)
+    if (it == kind.objects.end() || item.position < it->second.position)
       return false;
     kind.objects.erase(it);
     return true;
   }
-  if (it != kind.objects.end() && it->second.revision >= item.revision)
+  if (it == kind.objects.end()) {
+    kind.objects[item.name] = item;
+    return true;
+  }
+  if (it->second.position >= item.position)
     return false;
-  kind.objects[item.name] = item;
-  return true;
+  // A new era gives new positions to objects that have not changed.
+  const bool has_changed = it->second.position.era() == item.position.era() ||
+                           it->second.value != item.value;
+  it->second = item;
+  return has_changed;
+}
+
+// Applies `item` and adds it to `applied` if it changes the cache.
+void ApplyItemTo(CachedKind& kind,
+                 const CacheItem& item,
+                 std::vector<CacheItem>& applied) {
+  if (!ApplyItem(kind, item))
+    return;
+  applied.push_back(item);
+  applied.back().is_restored = MeetsNewEra(kind, item.position);
+}
+
+// The removals and gaps of earlier eras say nothing about the new one.
+void BeginEra(CachedKind& kind, const StorePosition& as_of) {
+  kind.removals.clear();
+  kind.gaps.clear();
+  kind.removals_since = as_of;
 }
 
 // Records a removal for followers, also that of an object that is not cached
@@ -32,7 +61,7 @@
   kind.removals.push_back(item);
   while (kind.removals.size() > kMaxRemovals) {
     kind.removals_since =
-        std::max(kind.removals_since, kind.removals.front().revision);
+        std::max(kind.removals_since, kind.removals.front().position);
     kind.removals.pop_front();
   }
 }
@@ -43,17 +72,16 @@
                                      const std::vector<CacheItem>& items,
                                      const std::set<std::string>& listed,
                                      const std::string& name,
-                                     uint64_t as_of) {
+                                     const StorePosition& as_of) {
   std::vector<CacheItem> applied;
-  for (const CacheItem& it : items) {
-    if (ApplyItem(kind, it))
-      applied.push_back(it);
-  }
+  for (const CacheItem& it : items)
+    ApplyItemTo(kind, it, applied);
+  const bool is_new_era = MeetsNewEra(kind, as_of);
   std::vector<CacheItem> removed;
   for (const auto& [object, it] : kind.objects) {
     // The list cannot tell of objects that are newer than itself.
-    if (listed.count(object) == 0 && it.revision <= as_of)
-      removed.push_back({name, object, as_of, true, ""});
+    if (listed.count(object) == 0 && it.position <= as_of)
+      removed.push_back({name, object, as_of, true, "", is_new_era});
   }
   for (const CacheItem& it : removed) {
     kind.objects.erase(it.name);
@@ -61,7 +89,9 @@
     applied.push_back(it);
   }
   // Hosts that have a part of the objects, as this one did, need a list.
-  if (kind.as_of == 0 || kind.is_partial) {
+  if (is_new_era) {
+    BeginEra(kind, as_of);
+  } else if (!kind.as_of.is_known() || kind.is_partial) {
     kind.removals_since = as_of;
   } else if (kind.as_of < as_of) {
     kind.gaps.push_back({kind.as_of, as_of});
@@ -80,27 +110,27 @@
   for (const CacheItem& it : items) {
     if (it.removed)
       RecordRemoval(kind, it);
-    if (ApplyItem(kind, it))
-      applied.push_back(it);
+    ApplyItemTo(kind, it, applied);
   }
   return applied;
 }
 
-// A removal gets the revision `as_of`, at which the object is known to be gone.
+// A removal gets the position `as_of`, at which the object is known to be gone.
 CacheItem ToCacheItem(const std::string& kind,
                       const StoreObject& object,
-                      uint64_t as_of) {
+                      const StorePosition& as_of) {
   const bool removed = object.revision == 0;
-  return {kind, object.name, removed ? as_of : object.revision, removed,
-          removed ? "" : object.value};
+  const StorePosition position =
+      removed ? as_of : StorePosition(as_of.era(), object.revision);
+  return {kind, object.name, position, removed, removed ? "" : object.value};
 }
 
-uint64_t PositionOf(const CacheFollow& follow, const std::string& kind) {
+StorePosition PositionOf(const CacheFollow& follow, const std::string& kind) {
   for (const CachePosition& it : follow.positions) {
     if (it.kind == kind)
       return it.as_of;
   }
-  return 0;
+  return {};
 }
 
 // Whether `a` has a later position than `b` for any kind.
@@ -119,9 +149,9 @@
   return out;
 }
 
-// Whether all removals after revision `from` are known. A host whose position
+// Whether all removals after `from` are known. A host whose position
 // lies inside a gap may have an object whose removal is unknown here.
-bool KnowsRemovalsSince(const CachedKind& kind, uint64_t from) {
+bool KnowsRemovalsSince(const CachedKind& kind, const StorePosition& from) {
   return from >= kind.removals_since &&
          std::none_of(kind.gaps.begin(), kind.gaps.end(),
                       [&](const HistoryGap& it) {
@@ -136,7 +166,7 @@
     const std::vector<CacheItem>& items) {
   if (span.is_list)
     return std::set<std::string>(span.names.begin(), span.names.end());
-  if (span.from > 0 || span.is_partial)
+  if (span.from.is_known() || span.is_partial)
     return std::nullopt;
   std::set<std::string> names;
   for (const CacheItem& it : items) {
@@ -146,12 +176,12 @@
   return names;
 }
 
-// Adds the changes of `kind` after revision `from` to the push.
+// Adds the changes of `kind` after `from` to the push.
 void AddSpan(const std::string& name,
              const CachedKind& kind,
-             uint64_t from,
+             const StorePosition& from,
              CachePush& push) {
-  if (kind.as_of == 0)
+  if (!kind.as_of.is_known())
     return;
   CacheSpan span{name, from, kind.as_of, false, {}, kind.is_partial};
   if (from < kind.as_of) {
@@ -159,14 +189,14 @@
     // An object that was created again needs no removal: its new revision
     // replaces the old one.
     for (const CacheItem& it : kind.removals) {
-      if (!span.is_list && it.revision > from &&
+      if (!span.is_list && it.position > from &&
           kind.objects.count(it.name) == 0)
         push.items.push_back(it);
     }
     for (const auto& [object, it] : kind.objects) {
       if (span.is_list)
         span.names.push_back(object);
-      if (it.revision > from)
+      if (it.position > from)
         push.items.push_back(it);
     }
   }
@@ -183,10 +213,10 @@
 }
 
 bool IsComplete(const StoreCache& cache) {
-  return std::all_of(cache.kinds.begin(), cache.kinds.end(),
-                     [](const auto& it) {
-                       return it.second.as_of > 0 || it.second.is_partial;
-                     });
+  return std::all_of(
+      cache.kinds.begin(), cache.kinds.end(), [](const auto& it) {
+        return it.second.as_of.is_known() || it.second.is_partial;
+      });
 }
 
 CacheFollow PositionsOf(const StoreCache& cache) {
@@ -206,6 +236,8 @@
   std::vector<CacheItem> applied;
   if (!change.complete) {
     applied = ApplyChanges(known, items);
+    if (MeetsNewEra(known, change.as_of))
+      BeginEra(known, change.as_of);
     known.is_partial = known.is_partial || change.is_partial_list;
   } else if (change.as_of >= known.as_of) {
     // A list from a replica of the store may be older than the cached state.
@@ -229,8 +261,8 @@
       continue;
     CachedKind& kind = it->second;
     // A span from the beginning shows what this cache lacks.
-    if (kind.is_partial && !span.is_partial && span.from > 0) {
-      kind.as_of = 0;
+    if (kind.is_partial && !span.is_partial && span.from.is_known()) {
+      kind.as_of = {};
       continue;
     }
     // A lagging sender must not revert newer state.
@@ -243,6 +275,8 @@
     auto part = replaces_all
                     ? ApplyFullList(kind, items, *names, span.kind, span.as_of)
                     : ApplyChanges(kind, items);
+    if (MeetsNewEra(kind, span.as_of))
+      BeginEra(kind, span.as_of);
     for (CacheItem& item : part)
       applied.push_back(std::move(item));
     kind.as_of = span.as_of;
@@ -260,6 +294,15 @@
              });
 }
 
+bool IsOfEarlierEra(const StoreCache& cache, const CachePush& push) {
+  return std::any_of(push.spans.begin(), push.spans.end(),
+                     [&](const CacheSpan& span) {
+                       const auto it = cache.kinds.find(span.kind);
+                       return it != cache.kinds.end() &&
+                              span.as_of.era() < it->second.as_of.era();
+                     });
+}
+
 CachePush MakePush(const StoreCache& cache,
                    const CacheFollow& known,
                    Duration unreliable_for) {
@@ -285,7 +328,7 @@
   const CacheFollow acked = std::exchange(it.acked, follow);
   CacheFollow known = PositionsOf(cache);
   for (CachePosition& position : known.positions) {
-    const uint64_t has = PositionOf(follow, position.kind);
+    const StorePosition has = PositionOf(follow, position.kind);
     const bool has_moved =
         starts_anew || has != PositionOf(acked, position.kind);
     // Progress on other kinds does not show that this kind's push arrived.
@@ -312,7 +355,7 @@
                                      Duration unreliable_for,
                                      Time now) {
   std::vector<AddressedPush> out;
-  std::map<std::vector<uint64_t>, size_t> index_by_positions;
+  std::map<std::vector<StorePosition>, size_t> index_by_positions;
   const CacheFollow own = PositionsOf(cache);
   for (auto it = followers.begin(); it != followers.end();) {
     CacheFollower& follower = it->second;
@@ -320,7 +363,7 @@
       it = followers.erase(it);
       continue;
     }
-    std::vector<uint64_t> positions;
+    std::vector<StorePosition> positions;
     for (const CachePosition& position : own.positions)
       positions.push_back(PositionOf(follower.sent, position.kind));
     const auto [group, is_new] =
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -3,8 +3,12 @@
 //
 // The store charges for every call, and its rate limits stay the same while
 // the fleet grows. So only a few hosts, the relays, follow the store; all
-// others follow relays. Positions are store revisions, so that a host which
+// others follow relays. Positions are those of the store, so that a host which
 // switches to another relay receives only the objects that it lacks.
+//
+// A new era of the store (see StorePosition) replaces what is cached, even if
+// its revisions are lower. Changes that were met together with it are marked:
+// see routing/restored_state.h for what they do to a host's state.
 #ifndef ROUTING_STORE_CACHE_H_
 #define ROUTING_STORE_CACHE_H_
 
@@ -22,22 +26,22 @@
 
 namespace sassafras {
 
-// A range of revisions that a full list skipped. Objects that were both created
+// A range of positions that a full list skipped. Objects that were both created
 // and removed between `from` and `to` are unknown.
 struct HistoryGap {
-  uint64_t from = 0;
-  uint64_t to = 0;
+  StorePosition from;
+  StorePosition to;
 };
 
 struct CachedKind {
-  uint64_t as_of = 0;  // Zero: the kind has not been listed yet.
+  StorePosition as_of;  // Unknown: the kind has not been listed yet.
   std::map<std::string, CacheItem> objects;
-  // Removals after revision `removals_since`, oldest first.
+  // Removals after `removals_since`, oldest first.
   std::deque<CacheItem> removals;
-  uint64_t removals_since = 0;
+  StorePosition removals_since;
   std::deque<HistoryGap> gaps;
   // A list could not be read to its end: objects that are not in `objects` may
-  // exist. `as_of` is zero if no later list or push was read.
+  // exist. `as_of` is unknown if no later list or push was read.
   bool is_partial = false;
 };
 
@@ -78,6 +82,9 @@
 // Whether the cache is as new as the sender's, after ApplyPush().
 bool IsUpToDate(const StoreCache& cache, const CachePush& push);
 
+// Whether the sender has not met the era of the store that the cache has.
+bool IsOfEarlierEra(const StoreCache& cache, const CachePush& push);
+
 // Returns what a host with the positions `known` lacks; may hold no items.
 // `unreliable_for`: how much longer the removal of a record does not prove that
 // its endpoint has left.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -27,14 +27,15 @@
   // kUnknown if the write may have taken effect.
   virtual void PutIf(const StorePut& put, Done done) = 0;
 
-  // Reports the changes of a kind after revision `from`, until the returned
-  // Watch is destroyed. Reports the complete list first if `from` is zero or
-  // the store has no changes that old; it may do so in other cases too, as
-  // after an interruption. Also reports, at once and at least every few
-  // seconds, that nothing has changed. All that is reported is current.
+  // Reports the changes of a kind after `from`, until the returned Watch is
+  // destroyed. Reports the complete list first if `from` is unknown or of an
+  // earlier era, or the store has no changes that old; it may do so in other
+  // cases too, as after an interruption. Also reports, at once and at least
+  // every few seconds, that nothing has changed. All that is reported is
+  // current.
   virtual std::unique_ptr<Watch> Follow(
       const std::string& kind,
-      uint64_t from,
+      const StorePosition& from,
       std::function<void(StoreChange)> on_change) = 0;
 
   // `fn` is called when the store becomes reachable or unreachable for this
--- a/src/store/store_client.cc
+++ b/src/store/store_client.cc
@@ -174,7 +174,7 @@
 
   std::unique_ptr<Watch> Follow(
       const std::string& kind,
-      uint64_t from,
+      const StorePosition& from,
       std::function<void(StoreChange)> on_change) override;
 
   CurlDriver& driver() { return driver_; }
@@ -232,7 +232,7 @@
     const auto revision =
         json.at("metadata").at("resourceVersion").get<std::string>();
     revision_ = std::stoull(revision);
-    on_change_({ParseObjects(json), true, revision_});
+    on_change_({ParseObjects(json), true, {0, revision_}});
   } catch (const std::exception& e) {
     LogLine(LogLevel::kWarning, "store", "Store sent a malformed list.")
         .With("kind", kind_)
@@ -296,7 +296,7 @@
       return;
     revision_ = std::max(revision_, object->revision);
     StoreChange change;
-    change.as_of = revision_;
+    change.as_of = {0, revision_};
     change.objects.push_back(std::move(*object));
     loop_.Post([weak = weak_from_this(), change = std::move(change)] {
       if (const auto self = weak.lock())
@@ -331,7 +331,7 @@
 
 std::unique_ptr<Watch> StoreClient::Follow(
     const std::string& kind,
-    uint64_t /*from*/,
+    const StorePosition& /*from*/,
     std::function<void(StoreChange)> on_change) {
   auto follower =
       std::make_shared<Follower>(*this, loop_, kind, std::move(on_change));
--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -244,7 +244,7 @@
     const size_t before = positions.size();
     store->List({"k", {}, freshness}, [&](const StoreReply& it) {
       EXPECT_EQ(it.objects.size(), static_cast<size_t>(kObjects));
-      positions.push_back(it.as_of);
+      positions.push_back(it.as_of.revision());
     });
     return world_.RunUntil(kAnswerTimeout,
                            [&] { return positions.size() > before; });
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -338,7 +338,7 @@
   PlatformStandinEndpoint& foreign = world_.AddEndpoint("bitacora");
   foreign.set_behavior(StandinBehavior::kMisdirected);
   for (const char* c : {"&", "+", "#", "%", " "}) {
-    for (const std::string it : {std::string("i-1") + c, "a" + std::string(c)})
+    for (const std::string& it : {std::string("i-1") + c, "a" + std::string(c)})
       world_.store().Put("servers", it, foreign.Record("rondas", "cuyo-a"));
   }
   world_.PutConfig(1);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -389,7 +389,7 @@
       world_.RunUntil(kAnswerTimeout, [&] { return reply.has_value(); }));
   EXPECT_EQ(reply->status, StoreStatus::kOk);
   EXPECT_EQ(reply->objects.size(), 5U);
-  EXPECT_GT(reply->as_of, 0U);
+  EXPECT_TRUE(reply->as_of.is_known());
 }
 
 TEST_F(GatewayTest, DrainingEndpointGetsNoNewRequests) {
--- a/tests/platform/store_bodies_test.cc
+++ b/tests/platform/store_bodies_test.cc
@@ -14,22 +14,24 @@
       R"({"metadata":{"name":"b","revision":4},"specification":{"x":1)";
   for (const char* rest : {"}{", "", "}}]", ",,", "}}},{\"metadata\":"}) {
     SCOPED_TRACE(rest);
-    const auto page =
-        ReadPageBody("k", R"({"as-of":9,"items":[)" + std::string(kFirst) +
-                              "," + odd + rest);
+    const auto page = ReadPageBody(
+        "k", R"({"as-of":9,"items":[)" + std::string(kFirst) + "," + odd + rest,
+        2);
     ASSERT_TRUE(page);
     ASSERT_GE(page->objects.size(), 1U);
     EXPECT_EQ(page->objects[0].name, "a");
     EXPECT_EQ(page->last_name, "b");
     EXPECT_TRUE(page->has_more);
-    EXPECT_EQ(page->as_of, 9U);
+    EXPECT_EQ(page->as_of, StorePosition(2, 9));
   }
 }
 
 TEST(StoreBodiesTest, PartOfAnObjectIsNotTakenForTheObject) {
   const auto page =
-      ReadPageBody("k", R"({"items":[{"metadata":{"name":"b","revision":4},)"
-                        R"("specification":{"service":"s"},}]})");
+      ReadPageBody("k",
+                   R"({"items":[{"metadata":{"name":"b","revision":4},)"
+                   R"("specification":{"service":"s"},}]})",
+                   2);
   ASSERT_TRUE(page);
   EXPECT_TRUE(page->objects.empty());
   EXPECT_EQ(page->last_name, "b");
@@ -37,8 +39,10 @@
 
 TEST(StoreBodiesTest, LastReadableNameContinuesTheList) {
   const auto page = ReadPageBody(
-      "k", R"({"as-of":9,"has-more":true,"items":[)" + std::string(kFirst) +
-               R"(,{"metadata":{"name":7}},{"metadata":null},5]})");
+      "k",
+      R"({"as-of":9,"has-more":true,"items":[)" + std::string(kFirst) +
+          R"(,{"metadata":{"name":7}},{"metadata":null},5]})",
+      2);
   ASSERT_TRUE(page);
   EXPECT_EQ(page->objects.size(), 1U);
   EXPECT_EQ(page->last_name, "a");
@@ -48,15 +52,15 @@
   const std::string event =
       R"({"deleted":false,"object":)" + std::string(kFirst) + "}";
   const auto events = ReadEventsBody(
-      "k", R"({"as-of":9,"events":[)" + event + "," + event.substr(0, 60));
+      "k", R"({"as-of":9,"events":[)" + event + "," + event.substr(0, 60), 2);
   ASSERT_TRUE(events);
   EXPECT_TRUE(events->is_truncated);
   EXPECT_EQ(events->objects.size(), 1U);
   const auto whole =
-      ReadEventsBody("k", R"({"as-of":9,"events":[)" + event + "]}");
+      ReadEventsBody("k", R"({"as-of":9,"events":[)" + event + "]}", 2);
   ASSERT_TRUE(whole);
   EXPECT_FALSE(whole->is_truncated);
-  EXPECT_EQ(whole->as_of, 9U);
+  EXPECT_EQ(whole->as_of, StorePosition(2, 9));
 }
 
 // Incident 031. As review/9.
@@ -71,8 +75,8 @@
 
 TEST(StoreBodiesTest, OtherBodiesAreNoPage) {
   for (const char* body : {"", "7", "[]", "{}", R"({"items":{}})"}) {
-    EXPECT_FALSE(ReadPageBody("k", body)) << body;
-    EXPECT_FALSE(ReadEventsBody("k", body)) << body;
+    EXPECT_FALSE(ReadPageBody("k", body, 2)) << body;
+    EXPECT_FALSE(ReadEventsBody("k", body, 2)) << body;
   }
 }
 
--- a/tests/routing/list_reading_test.cc
+++ b/tests/routing/list_reading_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 ListPage Page(const std::string& name, uint64_t revision, uint64_t as_of) {
-  return {{{"k", name, revision, "{}"}}, name, true, as_of};
+  return {{{"k", name, revision, "{}"}}, name, true, {0, as_of}};
 }
 
 TEST(ListReadingTest, WholeListHasThePositionOfItsOldestPage) {
@@ -18,30 +18,30 @@
   last.has_more = false;
   EXPECT_EQ(OnPage(list, last, ListFreshness::kCurrent), ListStep::kWhole);
   EXPECT_EQ(list.objects.size(), 2U);
-  EXPECT_EQ(list.as_of, 8U);
+  EXPECT_EQ(list.as_of, StorePosition(0, 8));
 }
 
 TEST(ListReadingTest, PageThatMayBeStaleIsAsNewAsItsNewestObject) {
   ListReading list;
   OnPage(list, Page("a", 3, 9), ListFreshness::kMayBeStale);
-  EXPECT_EQ(list.as_of, 3U);
+  EXPECT_EQ(list.as_of, StorePosition(0, 3));
 }
 
 TEST(ListReadingTest, PageWithoutARevisionIsAsNewAsItsNewestObject) {
   ListReading list;
   OnPage(list, Page("a", 3, 0), ListFreshness::kCurrent);
-  EXPECT_EQ(list.as_of, 3U);
+  EXPECT_EQ(list.as_of, StorePosition(0, 3));
 }
 
 // Incident 031. Else the watch that follows could be refused for good.
 TEST(ListReadingTest, PageWithoutARevisionIsAsNewAsTheListsBegin) {
   ListReading list;
-  list.begun_at = 7;
+  list.begun_at = {0, 7};
   OnPage(list, Page("a", 3, 0), ListFreshness::kCurrent);
-  EXPECT_EQ(list.as_of, 7U);
+  EXPECT_EQ(list.as_of, StorePosition(0, 7));
   OnPage(list, Page("b", 3, 9), ListFreshness::kCurrent);
-  EXPECT_EQ(list.as_of, 7U);
-  EXPECT_EQ(list.newest_as_of, 9U);
+  EXPECT_EQ(list.as_of, StorePosition(0, 7));
+  EXPECT_EQ(list.newest_as_of, StorePosition(0, 9));
 }
 
 // Incident 031. Such a list was read without end, or taken for whole.
@@ -54,7 +54,7 @@
   EXPECT_EQ(OnPage(circle, Page("a", 3, 9), ListFreshness::kCurrent),
             ListStep::kPartial);
   ListReading nameless;
-  EXPECT_EQ(OnPage(nameless, {{}, "", true, 9}, ListFreshness::kCurrent),
+  EXPECT_EQ(OnPage(nameless, {{}, "", true, {0, 9}}, ListFreshness::kCurrent),
             ListStep::kPartial);
 }
 
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -141,13 +141,13 @@
       R"("sequence":1000,"born":1234567890123})";
   const HostMembers members = ViewOfMixedHosts(1, kHosts);
   StoreCache cache = MakeStoreCache({"endpoints"});
-  StoreChange all{{}, true, 1};
+  StoreChange all{{}, true, {0, 1}};
   for (int i = 0; i < kEndpoints; ++i)
     all.objects.push_back(
         {"endpoints", "i-0123456" + std::to_string(i), 1, kRecord});
   ApplyStoreChange(cache, "endpoints", all);
   const CacheFollow known = PositionsOf(cache);
-  StoreChange changes{{}, false, 2};
+  StoreChange changes{{}, false, {0, 2}};
   for (int i = 0; i < kChanges; ++i) {
     changes.objects.push_back(all.objects[static_cast<size_t>(i)]);
     changes.objects.back().revision = 2;
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -13,12 +13,16 @@
 const Time kStart{seconds(1000)};
 const HostId kFollower("f");
 
+StorePosition At(uint64_t revision) {
+  return {0, revision};
+}
+
 StoreChange List(std::vector<StoreObject> objects, uint64_t as_of) {
-  return {std::move(objects), true, as_of};
+  return {std::move(objects), true, At(as_of)};
 }
 
 StoreChange Change(StoreObject object, uint64_t as_of) {
-  return {{std::move(object)}, false, as_of};
+  return {{std::move(object)}, false, At(as_of)};
 }
 
 TEST(StoreCacheTest, ListRemovesMissingObjects) {
@@ -38,7 +42,7 @@
   EXPECT_TRUE(
       ApplyStoreChange(cache, "k", List({{"k", "a", 3, "old"}}, 4)).empty());
   EXPECT_EQ(cache.kinds["k"].objects["a"].value, "new");
-  EXPECT_EQ(cache.kinds["k"].as_of, 8U);
+  EXPECT_EQ(cache.kinds["k"].as_of, At(8));
 }
 
 // Incident 030.
@@ -61,12 +65,12 @@
   const CachePush all =
       OnFollow(followers, relay, kFollower, {}, Duration(0), kStart);
   ASSERT_EQ(all.spans.size(), 1U);
-  EXPECT_EQ(all.spans[0].from, 0U);
+  EXPECT_EQ(all.spans[0].from, At(0));
   EXPECT_EQ(ApplyPush(host, all).size(), 1U);
   ApplyStoreChange(relay, "k", Change({"k", "a", 6, "2"}, 6));
   const auto pushes = PushToAll(followers, relay, Duration(0), kStart);
   ASSERT_EQ(pushes.size(), 1U);
-  EXPECT_EQ(pushes[0].push.spans[0].from, 5U);
+  EXPECT_EQ(pushes[0].push.spans[0].from, At(5));
   EXPECT_EQ(ApplyPush(host, pushes[0].push).size(), 1U);
   EXPECT_EQ(host.kinds["k"].objects["a"].value, "2");
   EXPECT_TRUE(IsComplete(host));
@@ -137,7 +141,8 @@
   const uint64_t wanted = revision;
   PushToAll(followers, relay, Duration(0), now);  // Lost.
   const Time lost_at = now;
-  while (host.kinds["config"].as_of < wanted && now - lost_at < seconds(20)) {
+  while (host.kinds["config"].as_of < At(wanted) &&
+         now - lost_at < seconds(20)) {
     now += milliseconds(100);
     put("endpoints");
     for (const AddressedPush& it :
@@ -306,7 +311,7 @@
   ApplyPush(host, OnFollow(followers, relay, kFollower, PositionsOf(host),
                            Duration(0), kStart));
   EXPECT_EQ(host.kinds["k"].objects.count("b"), 0U);
-  EXPECT_EQ(host.kinds["k"].as_of, 9U);
+  EXPECT_EQ(host.kinds["k"].as_of, At(9));
 }
 
 // A relay that has just started receives the removal of an object that it never
@@ -324,7 +329,7 @@
 }
 
 StoreChange PartialList(std::vector<StoreObject> objects, uint64_t as_of) {
-  return {std::move(objects), false, as_of, true};
+  return {std::move(objects), false, At(as_of), true};
 }
 
 // Incident 031.
@@ -363,7 +368,7 @@
     for (int i = 0; i < 2; ++i)
       ApplyPush(host, OnFollow(followers, relay, kFollower, PositionsOf(host),
                                {}, kStart));
-    EXPECT_EQ(host.kinds["k"].as_of, 7U);
+    EXPECT_EQ(host.kinds["k"].as_of, At(7));
     EXPECT_FALSE(host.kinds["k"].is_partial);
     EXPECT_EQ(host.kinds["k"].objects.count("b"), 1U);
     EXPECT_EQ(host.kinds["k"].objects.count("c"), 0U);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -158,7 +158,25 @@
   if (!stale)
     stale_.reset();
   else if (!stale_)
-    stale_ = Snapshot{kinds_, revision_};
+    stale_ = Snapshot{kinds_, revision_, era_};
+}
+
+void PlatformStandinStore::TakeCopy() {
+  copy_ = Snapshot{kinds_, revision_, era_};
+}
+
+void PlatformStandinStore::ComeBackFromCopy() {
+  kinds_ = copy_->kinds;
+  revision_ = copy_->revision;
+  ++era_;
+  DropHistory();
+  EndWatches();
+}
+
+HttpHeaders PlatformStandinStore::Fields() const {
+  if (era_ == 0)
+    return {};
+  return {{"Store-Era", std::to_string(era_)}};
 }
 
 void PlatformStandinStore::DropWatchEvents() {
@@ -174,14 +192,14 @@
 void PlatformStandinStore::EndWatches() {
   for (const auto& it : std::exchange(pending_watches_, {})) {
     it->session->set_on_disconnect(nullptr);
-    it->session->Respond(kHttpServiceUnavailable, {}, "");
+    it->session->Respond(kHttpServiceUnavailable, Fields(), "");
   }
 }
 
 void PlatformStandinStore::Answer(const Session& session) {
   ++calls_;
   if (down_) {
-    session->Respond(down_status_, {}, "");
+    session->Respond(down_status_, Fields(), "");
     return;
   }
   const std::string prefix = "/objects/";
@@ -201,19 +219,20 @@
     const Json json = Json::parse(*body);
     const std::string name = json["metadata"]["name"];
     if (session->method() == "POST" && kinds_[kind].count(name) > 0) {
-      session->Respond(kHttpConflict, {},
+      session->Respond(kHttpConflict, Fields(),
                        ObjectJson(name, kinds_[kind][name]).dump());
       return;
     }
     Put(kind, name, json["specification"]);
-    session->Respond(kHttpOk, {}, ObjectJson(name, kinds_[kind][name]).dump());
+    session->Respond(kHttpOk, Fields(),
+                     ObjectJson(name, kinds_[kind][name]).dump());
   });
 }
 
 void PlatformStandinStore::AnswerList(const Session& session,
                                       const std::string& kind) {
   if (later_pages_fail_ && session->Argument("after")) {
-    session->Respond(kHttpServiceUnavailable, {}, "");
+    session->Respond(kHttpServiceUnavailable, Fields(), "");
     return;
   }
   Json items = Json::array();
@@ -224,7 +243,10 @@
     items.push_back(ObjectJson(it->first, it->second));
   const uint64_t as_of =
       is_stale && !stale_names_present_revision_ ? stale_->revision : revision_;
-  session->Respond(kHttpOk, {},
+  HttpHeaders fields = Fields();
+  if (is_stale && stale_->era < era_)
+    fields = {{"Store-Era", std::to_string(stale_->era)}};
+  session->Respond(kHttpOk, fields,
                    R"({"items":)" + Dump(items) + R"(,"has-more":)" +
                        (it != objects.end() ? "true" : "false") +
                        R"(,"as-of":)" + std::to_string(as_of) + "}");
@@ -239,7 +261,7 @@
   if (events.empty())
     return false;
   watch.session->set_on_disconnect(nullptr);
-  watch.session->Respond(kHttpOk, {},
+  watch.session->Respond(kHttpOk, Fields(),
                          R"({"events":)" + Dump(events) + R"(,"as-of":)" +
                              std::to_string(revision_) + "}");
   return true;
@@ -251,8 +273,9 @@
   watch->kind = kind;
   watch->from_revision = std::stoull(*session->Argument("watch"));
   watch->session = session;
-  if (watch->from_revision + 1 < history_from_) {
-    session->Respond(kHttpGone, {}, "{}");
+  if (watch->from_revision + 1 < history_from_ ||
+      watch->from_revision > revision_) {
+    session->Respond(kHttpGone, Fields(), "{}");
     return;
   }
   if (TryAnswerWatch(*watch))
@@ -269,16 +292,17 @@
       [this, remove_watch] { loop_.Post(remove_watch); });
   const auto wait =
       std::chrono::milliseconds(std::stoll(*session->Argument("wait-ms")));
-  watch->timer = loop_.After(wait, [this, raw_watch = watch.get(),
-                                    remove_watch] {
-    // A watch whose events were dropped reports the revision it started at.
-    const uint64_t as_of =
-        raw_watch->drops_events ? raw_watch->from_revision : revision_;
-    raw_watch->session->set_on_disconnect(nullptr);
-    raw_watch->session->Respond(
-        kHttpOk, {}, Json{{"events", Json::array()}, {"as-of", as_of}}.dump());
-    loop_.Post(remove_watch);
-  });
+  watch->timer =
+      loop_.After(wait, [this, raw_watch = watch.get(), remove_watch] {
+        // A watch whose events were dropped reports the revision it started at.
+        const uint64_t as_of =
+            raw_watch->drops_events ? raw_watch->from_revision : revision_;
+        raw_watch->session->set_on_disconnect(nullptr);
+        raw_watch->session->Respond(
+            kHttpOk, Fields(),
+            Json{{"events", Json::array()}, {"as-of", as_of}}.dump());
+        loop_.Post(remove_watch);
+      });
 }
 
 PlatformStandinEndpoint::PlatformStandinEndpoint(Loop& loop,
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -70,7 +70,12 @@
     down_ = down;
     down_status_ = status;
   }
-  // Answers all watches that wait with 503, for the end of a test.
+  // Keeps a copy of all objects, from which the store can come back.
+  void TakeCopy();
+  // What was written since the copy is lost, and its revisions are given out
+  // again. From then on all answers name the next era.
+  void ComeBackFromCopy();
+  // Answers all watches that wait with 503.
   void EndWatches();
   // Number of calls received.
   int calls() const { return calls_; }
@@ -84,6 +89,7 @@
   struct Snapshot {
     std::map<std::string, std::map<std::string, Object>> kinds;
     uint64_t revision = 0;
+    uint64_t era = 0;
   };
   struct Event {
     uint64_t revision = 0;
@@ -107,6 +113,8 @@
                     const std::string& name,
                     bool deleted);
   std::string Dump(const nlohmann::json& body) const;
+  // Those of all answers.
+  HttpHeaders Fields() const;
   bool TryAnswerWatch(PendingWatch& watch);
   std::string AddRawText(const std::string& text);
   nlohmann::json ObjectJson(const std::string& name,
@@ -122,6 +130,8 @@
   std::map<std::string, std::string> raw_names_;
   std::set<std::string> nameless_;  // From PutNameless().
   uint64_t revision_ = 1;
+  uint64_t era_ = 0;
+  std::optional<Snapshot> copy_;
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
   std::optional<Snapshot> stale_;  // What lists that may be stale show.
--- a/tests/store/store_client_test.cc
+++ b/tests/store/store_client_test.cc
@@ -38,7 +38,7 @@
   if (!server)
     return names;
   const auto store = ConnectStore(loop, config.listen, kTimeout);
-  const auto follower = store->Follow("k", 0, [&](const StoreChange& change) {
+  const auto follower = store->Follow("k", {}, [&](const StoreChange& change) {
     for (const StoreObject& it : change.objects)
       names.push_back(it.name);
     loop.Stop();
