--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -115,6 +115,7 @@
   }
   FollowConfiguration();
   if (!route_) {
+    LogNoRoute();
     SendOwnAnswer(kHttpNotFound, "no_route", std::nullopt);
     return;
   }
@@ -138,6 +139,27 @@
     StartTries();
 }
 
+// What the host knew of the configuration, to tell a version that is late from
+// one that was never received.
+void GatewayExchange::LogNoRoute() const {
+  const Time now = state_.loop.Now();
+  const StateSource& source = state_.source;
+  LogLine line(LogLevel::kInfo, "request",
+               "Refused a request that no route allows.");
+  line.With("id", request_.id)
+      .With("config", config_->version)
+      .With("config_position", source.config_position)
+      .With("config_source", source.config_source)
+      .With("config_age_ms", Millis(now - source.config_applied_at))
+      .With("newest_known_config", NewestKnownVersion(state_.members))
+      .With("state_age_ms", IsConfirmed(state_.freshness)
+                                ? Millis(now - state_.freshness.confirmed_at)
+                                : -1)
+      .With("feed", source.feed);
+  for (const CachePosition& it : source.positions)
+    line.With("at_" + it.kind, it.as_of);
+}
+
 // Starts the first try. Called once the body is complete or fills the replay
 // buffer: its beginning is part of the request's hash.
 void GatewayExchange::StartTries() {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -117,6 +117,7 @@
 
   void FollowConfiguration();
   void RecordDemand();
+  void LogNoRoute() const;
   void StartTries();
   bool RefuseIfSuspect();
   bool RefuseIfStopping();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -36,6 +36,11 @@
   std::vector<HostId> relays;  // That this host follows.
   // Up to which its cache includes all changes, by kind of object.
   std::vector<CachePosition> positions;
+  // Of the configuration in effect: where it came from, its position there,
+  // and when it was applied.
+  std::string config_source = "none";
+  StorePosition config_position;
+  Time config_applied_at;
 };
 
 struct GatewayState {
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -495,6 +495,9 @@
   LogUnreadableParts(*config);
   state_.config = std::move(config);
   state_.members.self.config_version = state_.config->version;
+  state_.source.config_source = source;
+  state_.source.config_position = item.position;
+  state_.source.config_applied_at = state_.loop.Now();
 }
 
 void StoreCacheFeed::ApplyEvacuation(const CacheItem& item,
