Soak: the store comes back from an older copy

In three of four outages of the store it comes back from a copy of up to 4 s before; a version is put while the hosts cannot reach it, and the operator and the endpoints write theirs again.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -47,6 +47,8 @@
 constexpr milliseconds kConfigApply{2500};
 // A host that has shown a version may still send by an older one for this long.
 constexpr milliseconds kRevertSlack{250};
+// Largest age of the copy from which the store comes back, without its outage.
+constexpr milliseconds kCopyPeriod{4000};
 // How long lists that may be stale are behind a change.
 constexpr milliseconds kStale{3000};
 // Of their kinds of route, with home regions.
@@ -135,6 +137,7 @@
         notice_random_(options.seed),
         home_random_(options.seed),
         version_random_(options.seed),
+        copy_random_(options.seed),
         world_(options.network) {
     world_.UseAllZones();
   }
@@ -209,6 +212,8 @@
   std::mt19937_64 home_random_;
   // For what versions look like and for connections that fall silent.
   std::mt19937_64 version_random_;
+  // For copies from which the store comes back.
+  std::mt19937_64 copy_random_;
   PlatformWorld world_;
   std::unique_ptr<SoakCallers> callers_;
   std::map<std::string, FirstCaller> first_callers_;  // By their request's id.
@@ -224,6 +229,7 @@
   std::unique_ptr<Watch> send_;
   std::unique_ptr<Watch> poll_;
   std::unique_ptr<Watch> probe_;
+  std::unique_ptr<Watch> copy_;
   int version_ = 0;
   bool is_healing_ = false;
   int next_probe_ = 0;
@@ -322,6 +328,8 @@
   send_ = loop().Every(kSendPeriod, [this] { Send(); });
   poll_ = loop().Every(kPollPeriod, [this] { Poll(); });
   probe_ = loop().Every(kVersionProbePeriod, [this] { SendVersionProbes(); });
+  world_.store().TakeCopy();
+  copy_ = loop().Every(kCopyPeriod, [this] { world_.store().TakeCopy(); });
 }
 
 void SoakRun::Send() {
@@ -569,7 +577,17 @@
   world_.store().set_down(true);
   const milliseconds time = PickTime(300, 2500);
   outages_.push_back({loop().Now(), loop().Now() + time});
-  Later(time, [this] { world_.store().set_down(false); });
+  const bool comes_from_copy = copy_random_() % 4 != 0;
+  Later(time, [this, comes_from_copy] {
+    if (comes_from_copy) {
+      // Accepted while the hosts could not reach the store.
+      ChangeConfig();
+      Note("store comes back from a copy");
+      world_.store().ComeBackFromCopy();
+      world_.store().WriteLostAgain();
+    }
+    world_.store().set_down(false);
+  });
 }
 
 void SoakRun::CutFromStore(int host) {
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -166,6 +166,7 @@
 }
 
 void PlatformStandinStore::ComeBackFromCopy() {
+  lost_ = Snapshot{std::move(kinds_), revision_, era_};
   kinds_ = copy_->kinds;
   revision_ = copy_->revision;
   ++era_;
@@ -173,6 +174,22 @@
   EndWatches();
 }
 
+void PlatformStandinStore::WriteLostAgain() {
+  for (const char* kind : {"config", "servers", "evacuations"}) {
+    const auto copied = kinds_[kind];
+    for (const auto& [name, object] : lost_.kinds[kind]) {
+      const auto it = copied.find(name);
+      if (it == copied.end() ||
+          it->second.specification != object.specification)
+        Put(kind, name, object.specification);
+    }
+    for (const auto& [name, object] : copied) {
+      if (lost_.kinds[kind].count(name) == 0)
+        Delete(kind, name);
+    }
+  }
+}
+
 HttpHeaders PlatformStandinStore::Fields() const {
   if (era_ == 0)
     return {};
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -75,6 +75,9 @@
   // What was written since the copy is lost, and its revisions are given out
   // again. From then on all answers name the next era.
   void ComeBackFromCopy();
+  // Writes again what the operator and the endpoints had written and the last
+  // copy lacked. To be called before they write anything else.
+  void WriteLostAgain();
   // Answers all watches that wait with 503.
   void EndWatches();
   // Number of calls received.
@@ -132,6 +135,7 @@
   uint64_t revision_ = 1;
   uint64_t era_ = 0;
   std::optional<Snapshot> copy_;
+  Snapshot lost_;              // The state before it was replaced by the copy.
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
   std::optional<Snapshot> stale_;  // What lists that may be stale show.
