--- a/tests/gateway/restored_store_test.cc
+++ b/tests/gateway/restored_store_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "gateway/gateway_fixture.h"
+#include "platform/platform.h"
 #include "routing/restored_state.h"
 
 namespace sassafras {
@@ -191,5 +192,54 @@
   EXPECT_GT(joined.arrivals(), before);
 }
 
+// Incident 032. Followers of the store waited for it to be back.
+TEST_F(RestoredStoreTest, AllKindsAreReadAnewAtTheFirstAnswerOfAnEra) {
+  const auto store =
+      platform::ConnectStore(world_.loop(), world_.StoreAddress());
+  const std::vector<std::string> kinds = {"ka", "kb", "kc"};
+  std::map<std::string, std::string> values;
+  std::map<std::string, Time> seen;
+  std::vector<std::unique_ptr<Watch>> watches;
+  for (const std::string& kind : kinds)
+    world_.store().Put(kind, "o", Json("first"));
+  for (const std::string& kind : kinds) {
+    watches.push_back(
+        store->Follow(kind, {}, [&, kind](const StoreChange& change) {
+          for (const StoreObject& it : change.objects) {
+            values[kind] = it.value;
+            if (it.value == "\"again\"" && seen.count(kind) == 0)
+              seen[kind] = world_.loop().Now();
+          }
+        }));
+  }
+  ASSERT_TRUE(world_.RunUntil(seconds(2), [&] { return values.size() == 3; }));
+  world_.store().TakeCopy();
+  for (int i = 0; i < 5; ++i) {
+    for (const std::string& kind : kinds)
+      world_.store().Put(kind, "other", Json(i));
+  }
+  Wait(milliseconds(2000));
+  world_.store().set_down(true);
+  world_.store().EndWatches();
+  Wait(milliseconds(1500));
+  world_.store().ComeBackFromCopy();
+  for (const std::string& kind : kinds)
+    world_.store().Put(kind, "o", Json("again"));
+  for (int i = 0; i < 60; ++i)
+    world_.store().Put("elsewhere", "other", Json(i));
+  world_.store().set_down(false);
+  // As StoreCacheFeed::ProbeStore().
+  bool is_probed = false;
+  store->List({"probe", {}, ListFreshness::kMayBeStale},
+              [&](const StoreReply&) { is_probed = true; });
+  ASSERT_TRUE(world_.RunUntil(seconds(1), [&] { return is_probed; }));
+  const Time probed = world_.loop().Now();
+  ASSERT_TRUE(world_.RunUntil(seconds(5), [&] { return seen.size() == 3; }));
+  for (const auto& [kind, at] : seen) {
+    std::cout << kind << " " << Millis(at - probed) << " ms\n";
+    EXPECT_LE(Millis(at - probed), 800) << kind;
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
