Use no changes of an earlier era, and mark copies after partial lists

- LateChangeOfAnEarlierEraAddsNothing: a host that had met the era through a relay applied what a late answer to its own old watch added.
- RemovalByTheCopyIsMarkedAfterAPartialList: once a partial list had begun the era, what the whole list took back counted as written by its owner, so that an evacuation ended at once.

Change: changes of an earlier era than the cache's are not used; an object is marked by its own former era, and what the first whole list of an era adds after a partial one is marked too.

--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -42,14 +42,22 @@
 void ApplyItemTo(CachedKind& kind,
                  const CacheItem& item,
                  std::vector<CacheItem>& applied) {
+  const auto it = kind.objects.find(item.name);
+  const bool is_of_earlier_era =
+      it != kind.objects.end() &&
+      it->second.position.era() < item.position.era();
   if (!ApplyItem(kind, item))
     return;
   applied.push_back(item);
-  applied.back().is_restored = MeetsNewEra(kind, item.position);
+  applied.back().is_restored = is_of_earlier_era ||
+                               MeetsNewEra(kind, item.position) ||
+                               kind.unlisted_era == item.position.era();
 }
 
 // The removals and gaps of earlier eras say nothing about the new one.
-void BeginEra(CachedKind& kind, const StorePosition& as_of) {
+void BeginEra(CachedKind& kind, const StorePosition& as_of, bool is_listed) {
+  if (!is_listed)
+    kind.unlisted_era = as_of.era();
   kind.removals.clear();
   kind.gaps.clear();
   kind.removals_since = as_of;
@@ -81,7 +89,8 @@
   for (const auto& [object, it] : kind.objects) {
     // The list cannot tell of objects that are newer than itself.
     if (listed.count(object) == 0 && it.position <= as_of)
-      removed.push_back({name, object, as_of, true, "", is_new_era});
+      removed.push_back(
+          {name, object, as_of, true, "", it.position.era() < as_of.era()});
   }
   for (const CacheItem& it : removed) {
     kind.objects.erase(it.name);
@@ -90,7 +99,7 @@
   }
   // Hosts that have a part of the objects, as this one did, need a list.
   if (is_new_era) {
-    BeginEra(kind, as_of);
+    BeginEra(kind, as_of, true);
   } else if (!kind.as_of.is_known() || kind.is_partial) {
     kind.removals_since = as_of;
   } else if (kind.as_of < as_of) {
@@ -101,6 +110,7 @@
     }
   }
   kind.is_partial = false;
+  kind.unlisted_era.reset();
   return applied;
 }
 
@@ -230,6 +240,9 @@
                                         const std::string& kind,
                                         const StoreChange& change) {
   CachedKind& known = cache.kinds[kind];
+  // The answer to a call from before the era began may arrive late.
+  if (change.as_of.era() < known.as_of.era())
+    return {};
   std::vector<CacheItem> items;
   for (const StoreObject& it : change.objects)
     items.push_back(ToCacheItem(kind, it, change.as_of));
@@ -237,7 +250,7 @@
   if (!change.complete) {
     applied = ApplyChanges(known, items);
     if (MeetsNewEra(known, change.as_of))
-      BeginEra(known, change.as_of);
+      BeginEra(known, change.as_of, false);
     known.is_partial = known.is_partial || change.is_partial_list;
   } else if (change.as_of >= known.as_of) {
     // A list from a replica of the store may be older than the cached state.
@@ -276,7 +289,7 @@
                     ? ApplyFullList(kind, items, *names, span.kind, span.as_of)
                     : ApplyChanges(kind, items);
     if (MeetsNewEra(kind, span.as_of))
-      BeginEra(kind, span.as_of);
+      BeginEra(kind, span.as_of, false);
     for (CacheItem& item : part)
       applied.push_back(std::move(item));
     kind.as_of = span.as_of;
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +44,9 @@
   // A list could not be read to its end: objects that are not in `objects` may
   // exist. `as_of` is unknown if no later list or push was read.
   bool is_partial = false;
+  // An era that was met with a partial list. What its whole list adds may only
+  // show that the store's copy is older.
+  std::optional<uint64_t> unlisted_era;
 };
 
 struct StoreCache {
--- a/tests/routing/store_era_test.cc
+++ b/tests/routing/store_era_test.cc
@@ -83,6 +83,29 @@
       IsOfEarlierEra(host, MakePush(relay, PositionsOf(host), Duration(0))));
 }
 
+// Incident 032. The era was met through a relay.
+TEST(StoreEraTest, LateChangeOfAnEarlierEraAddsNothing) {
+  StoreCache cache = MakeStoreCache({"k"});
+  ApplyStoreChange(cache, "k", {{{"k", "a", 5, "1"}}, true, {1, 5}});
+  EXPECT_TRUE(
+      ApplyStoreChange(cache, "k", {{{"k", "b", 9, "2"}}, false, {0, 9}})
+          .empty());
+  EXPECT_EQ(cache.kinds["k"].objects.count("b"), 0U);
+}
+
+// Incident 032.
+TEST(StoreEraTest, RemovalByTheCopyIsMarkedAfterAPartialList) {
+  StoreCache cache = MakeStoreCache({"evacuations"});
+  ApplyStoreChange(cache, "evacuations",
+                   {{{"evacuations", "zone", 9, "{}"}}, true, {0, 9}});
+  ApplyStoreChange(cache, "evacuations", {{}, false, {1, 7}, true});
+  const auto applied =
+      ApplyStoreChange(cache, "evacuations", {{}, true, {1, 7}});
+  ASSERT_EQ(applied.size(), 1U);
+  EXPECT_TRUE(applied[0].removed);
+  EXPECT_TRUE(applied[0].is_restored);
+}
+
 // Incident 032. The list has pages of both eras.
 TEST(StoreEraTest, ListThatMeetsANewEraIsReadAnew) {
   ListReading list;
@@ -204,18 +227,34 @@
   EXPECT_TRUE(set.ended.empty());
 }
 
+// Incident 032. Its record lapsed, which proves nothing then.
+TEST(RestoredStateTest, IdleEndpointThatLapsedInAnOutageIsNotTakenForEnded) {
+  EndpointSet set;
+  EndpointRecord record;
+  record.id = EndpointId("a");
+  record.service = ServiceId("s");
+  record.address = {"10.0.0.1", 80};
+  record.zone = ZoneId("z");
+  record.slots = 4;
+  record.started_at_ms = 1;
+  ApplyRecord(set, record, kStart);
+  MarkRegistryUnreliable(set, kStart);
+  ApplyRemoval(set, record.id, kStart);
+  EXPECT_FALSE(UndoesLeaving(set, record));
+}
+
 // Incident 032.
 TEST(RestoredStateTest, HeldChangeIsDueOnceUnlessItsOwnerWrites) {
   RestoredState state;
   const CacheItem item{"k", "a", {1, 5}, true, "", true};
-  HoldItem(state, item, kStart);
+  HoldItem(state, item, kRestoredHoldTime, kStart);
   EXPECT_TRUE(TakeDueItems(state, kStart + kRestoredHoldTime - milliseconds(1))
                   .empty());
   const auto due = TakeDueItems(state, kStart + kRestoredHoldTime);
   ASSERT_EQ(due.size(), 1U);
   EXPECT_FALSE(due[0].is_restored);
   EXPECT_TRUE(TakeDueItems(state, kStart + seconds(60)).empty());
-  HoldItem(state, item, kStart);
+  HoldItem(state, item, kRestoredHoldTime, kStart);
   DropHeldItem(state, {"k", "a", {1, 6}, false, "1"});
   EXPECT_TRUE(TakeDueItems(state, kStart + seconds(60)).empty());
 }
