Hold evacuations for 4 s only, and no endpoints that merely lapsed

An evacuation that ends while the store is away and that the copy still lacked looks like one that the copy lost; it held for 10 s. Lost records are written again within about two seconds: 4 s now. - IdleEndpointThatLapsedInAnOutageIsNotTakenForEnded (failed before): an idle endpoint whose record lapsed while the registry was unreliable was taken for ended, and got nothing for 10 s after the store's return. - A relay of an earlier era no longer confirms a host's state.

--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -302,7 +302,8 @@
   OnActivity(state_.freshness, now);
   OnHostHeard(state_.freshness, now);
   // A relay that has not met the store's era counts as one that lost the store.
-  if (!IsOfEarlierEra(table_, push)) {
+  const bool is_of_earlier_era = IsOfEarlierEra(table_, push);
+  if (!is_of_earlier_era) {
     OnRelayHeard(choice_, from, std::chrono::milliseconds(push.store_age_ms),
                  std::chrono::milliseconds(push.doubt_ms), now);
   }
@@ -315,7 +316,8 @@
   for (const CachePosition& it : before.positions)
     OnNewEra(it.kind, it.as_of, from.value());
   ApplyItems(new_items, from.value());
-  if (push.state_age_ms < kUnknownStateAgeMs && IsUpToDate(table_, push))
+  if (!is_of_earlier_era && push.state_age_ms < kUnknownStateAgeMs &&
+      IsUpToDate(table_, push))
     Confirm(from.value(), std::chrono::milliseconds(push.state_age_ms));
 }
 
@@ -425,15 +427,18 @@
   on_complete_();
 }
 
-void StoreCacheFeed::Hold(const CacheItem& item, const std::string& source) {
+void StoreCacheFeed::Hold(const CacheItem& item,
+                          Duration time,
+                          const std::string& source) {
   LogLine(LogLevel::kWarning, "beliefs",
           "The store's copy takes back what was acknowledged; waiting.")
       .With("kind", item.kind)
       .With("name", item.name)
       .With("removed", item.removed)
       .With("position", item.position)
-      .With("source", source);
-  HoldItem(restored_, item, state_.loop.Now());
+      .With("source", source)
+      .With("hold_ms", Millis(time));
+  HoldItem(restored_, item, time, state_.loop.Now());
 }
 
 void StoreCacheFeed::ApplyEndpoint(const CacheItem& item,
@@ -448,7 +453,7 @@
         BOOST_LEAF_AUTO(record, platform::DecodeEndpoint(
                                     ObjectOf(item), state_.settings.regions));
         if (item.is_restored && UndoesLeaving(state_.endpoints, record))
-          Hold(item, source);
+          Hold(item, kRestoredHoldTime, source);
         else
           ApplyChanges(ApplyRecord(state_.endpoints, record, now));
         return {};
@@ -504,7 +509,7 @@
                                      const std::string& source) {
   const ZoneId zone(item.name);
   if (item.is_restored && item.removed) {
-    Hold(item, source);
+    Hold(item, kEvacuationHoldTime, source);
     return;
   }
   LogLine(LogLevel::kInfo, "endpoints",
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -74,7 +74,7 @@
   void ApplyItems(const std::vector<CacheItem>& items,
                   const std::string& source);
   // Lets a change by an older copy of the store wait for its owner.
-  void Hold(const CacheItem& item, const std::string& source);
+  void Hold(const CacheItem& item, Duration time, const std::string& source);
   void ApplyEndpoint(const CacheItem& item, const std::string& source);
   void ApplyConfig(const CacheItem& item, const std::string& source);
   void ApplyEvacuation(const CacheItem& item, const std::string& source);
--- a/src/routing/endpoint_set.cc
+++ b/src/routing/endpoint_set.cc
@@ -40,7 +40,6 @@
 EndpointChange Drop(EndpointSet& set, const EndpointPtr& endpoint, Time now) {
   EndpointChange change = SetState(endpoint, EndpointState::kGone, now);
   RemoveFromService(set, endpoint);
-  set.ended[endpoint->incarnation] = now;
   set.by_id.erase(endpoint->record.id);
   return change;
 }
@@ -91,6 +90,9 @@
   const bool was_draining = endpoint->state == EndpointState::kDraining;
   if (is_reliable || !answers || was_draining) {
     endpoint->ended_abruptly = is_reliable && !was_draining;
+    // A record that lapsed while the registry was unreliable proves nothing.
+    if (is_reliable || was_draining)
+      set.ended[endpoint->incarnation] = now;
     return Drop(set, endpoint, now);
   }
   return SetState(endpoint, EndpointState::kMissing, now);
@@ -114,6 +116,7 @@
       return changes;
     const EndpointPtr ended = it->second;
     ended->ended_abruptly = ended->state != EndpointState::kDraining;
+    set.ended[ended->incarnation] = now;
     changes.push_back(Drop(set, ended, now));
   }
   const auto known = set.by_id.find(record.id);
@@ -192,8 +195,10 @@
     if (endpoint->state == EndpointState::kMissing)
       missing.push_back(endpoint);
   }
-  for (const EndpointPtr& it : missing)
+  for (const EndpointPtr& it : missing) {
+    set.ended[it->incarnation] = now;
     changes.push_back(Drop(set, it, now));
+  }
   return changes;
 }
 
--- a/src/routing/restored_state.cc
+++ b/src/routing/restored_state.cc
@@ -11,10 +11,13 @@
          it->second->state == EndpointState::kDraining;
 }
 
-void HoldItem(RestoredState& state, const CacheItem& item, Time now) {
+void HoldItem(RestoredState& state,
+              const CacheItem& item,
+              Duration time,
+              Time now) {
   CacheItem held = item;
   held.is_restored = false;
-  state.held[{item.kind, item.name}] = {std::move(held), now};
+  state.held[{item.kind, item.name}] = {std::move(held), now + time};
 }
 
 void DropHeldItem(RestoredState& state, const CacheItem& item) {
@@ -24,7 +27,7 @@
 std::vector<CacheItem> TakeDueItems(RestoredState& state, Time now) {
   std::vector<CacheItem> due;
   for (auto it = state.held.begin(); it != state.held.end();) {
-    if (now - it->second.since < kRestoredHoldTime) {
+    if (now < it->second.due) {
       ++it;
       continue;
     }
--- a/src/routing/restored_state.h
+++ b/src/routing/restored_state.h
@@ -12,7 +12,7 @@
 // - Endpoint that is draining: likewise.
 // - Endpoint that the copy lacks: as while the registry is unreliable; see
 //   ApplyRemoval().
-// - Evacuation that the copy lacks: holds until the hold time has passed.
+// - Evacuation that the copy lacks: holds until its hold time has passed.
 // - Evacuation that the copy still has: starts at once. Sending nothing to a
 //   zone is the safe side.
 #ifndef ROUTING_RESTORED_STATE_H_
@@ -29,15 +29,18 @@
 
 namespace sassafras {
 
-// Time for which a change by the copy alone waits for its owner to write again.
-// Longer than the store keeps records that are not renewed.
+// Time for which a record by the copy alone waits for its endpoint to write
+// again. Longer than the store keeps records that are not renewed.
 inline constexpr Duration kRestoredHoldTime = std::chrono::seconds(10);
+// As above, for the end of an evacuation. What the operator had taken back just
+// before the store went away looks the same, and keeps a zone out of service.
+inline constexpr Duration kEvacuationHoldTime = std::chrono::seconds(4);
 
 // Changes by a copy that wait. Indexed by kind and name.
 struct RestoredState {
   struct Held {
     CacheItem item;
-    Time since;
+    Time due;
   };
   std::map<std::pair<std::string, std::string>, Held> held;
 };
@@ -46,8 +49,11 @@
 // ended.
 bool UndoesLeaving(const EndpointSet& set, const EndpointRecord& record);
 
-// Lets the change wait.
-void HoldItem(RestoredState& state, const CacheItem& item, Time now);
+// Lets the change wait for `time`.
+void HoldItem(RestoredState& state,
+              const CacheItem& item,
+              Duration time,
+              Time now);
 
 // A later change of the same object replaces what waits.
 void DropHeldItem(RestoredState& state, const CacheItem& item);
