--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -1,5 +1,6 @@
 #include "standins/platform_world.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +14,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -752,7 +754,8 @@
      << directory_ttl_s_ << "\nplatform.address="
      << (store == store_addresses_.end() ? StoreAddress() : store->second)
             .ToString()
-     << "\n";
+     << "\n"
+     << more_settings_;
   return os.str();
 }
 
@@ -871,6 +874,55 @@
   return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+size_t PlatformWorld::PeakMemoryOf(int index) const {
+  std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) +
+                     "/status");
+  const std::string key = "VmHWM:";
+  for (std::string line; std::getline(file, line);) {
+    if (line.rfind(key, 0) == 0)
+      return std::stoull(line.substr(key.size())) << 10;
+  }
+  return 0;
+}
+
+size_t PlatformWorld::UnreadBytesOf(int index) const {
+  const Address address = CallerAddressOf(index);
+  in_addr ip{};
+  inet_pton(AF_INET, address.ip.c_str(), &ip);
+  std::ostringstream local;
+  local << std::hex << std::uppercase << std::setfill('0') << std::setw(8)
+        << ip.s_addr << ':' << std::setw(4) << address.port;
+  constexpr const char* kEstablished = "01";
+  std::ifstream file("/proc/net/tcp");
+  size_t total = 0;
+  for (std::string line; std::getline(file, line);) {
+    std::istringstream fields(line);
+    std::string number;
+    std::string from;
+    std::string to;
+    std::string state;
+    std::string queues;  // Unsent and unread bytes.
+    fields >> number >> from >> to >> state >> queues;
+    if (from == local.str() && state == kEstablished)
+      total += std::stoull(queues.substr(queues.find(':') + 1), nullptr, 16);
+  }
+  return total;
+}
+
+size_t PlatformWorld::OpenSocketsOf(int index) const {
+  const std::filesystem::path folder =
+      "/proc/" + std::to_string(gateways_.at(index)) + "/fd";
+  std::error_code ec;
+  size_t n = 0;
+  for (const auto& it : std::filesystem::directory_iterator(folder, ec)) {
+    const std::string target =
+        std::filesystem::read_symlink(it.path(), ec).string();
+    if (target.rfind("socket:", 0) == 0 || target.rfind("pipe:", 0) == 0)
+      ++n;
+  }
+  return n;
+}
+
 Duration PlatformWorld::CpuTimeOf(int index) const {
   std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) + "/stat");
   std::string text;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -412,6 +412,8 @@
   // Sets the time in seconds for which callers may cache directory answers, in
   // settings that are written from now on.
   void set_directory_ttl_s(int ttl) { directory_ttl_s_ = ttl; }
+  // Appended to the settings of gateways that start from now on.
+  void set_more_settings(std::string more) { more_settings_ = std::move(more); }
   bool WaitReady(int index);
   void Signal(int index, int signal);
   bool WaitEnd(int index, std::chrono::milliseconds time);
@@ -447,6 +449,12 @@
   std::string LogPathOf(int index) const;
   // Resident memory of the gateway's process, in bytes.
   size_t ResidentMemoryOf(int index) const;
+  // The process's peak of resident memory, in bytes.
+  size_t PeakMemoryOf(int index) const;
+  // Bytes that the gateway's callers have sent and it has not read.
+  size_t UnreadBytesOf(int index) const;
+  // Open sockets and pipes of the gateway's process.
+  size_t OpenSocketsOf(int index) const;
   // CPU time that the gateway's process has used, in user and system mode.
   Duration CpuTimeOf(int index) const;
 
@@ -458,6 +466,7 @@
 
   int network_;
   int directory_ttl_s_ = 5;
+  std::string more_settings_;
   Loop loop_;
   std::string folder_;
   std::unique_ptr<PlatformStandinStore> store_;
