Bound the bytes of requests over all connections

Callers: a crowd that sent large bodies and stopped just short of their end made the process exceed its memory, and the platform killed it; all callers of the host were cut.

Cause: bodies, input and what waits for endpoints were bounded for each request or connection, and for a body that waited for its turn not at all; nothing added them up. A body stayed until its connection closed, also after the request was refused, and freed memory stayed with the process.

Change: RequestBuffers counts the bytes that requests hold over all connections, against a fifth of the host's memory. When there are more, connections give way: first those that wait for their caller, without progress for longest (1 KB counts, so that a trickle does not), then the others, the latest first. A request that no endpoint got is refused with 503, one that may run is ended with 502, and complete requests at endpoints keep running, but are not sent again. A body is released once its request has ended, and one that waits for its turn is read up to 256 KB only. Once much was released, the process returns freed memory.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMaxPipelinedRequests = 16;
 // Unparsed bytes after which the socket is no longer read from.
 constexpr size_t kMaxInputBytes = 64 << 10;
+// Capacity that an empty input buffer keeps.
+constexpr size_t kMaxKeptInputBytes = 8 << 10;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -41,7 +43,9 @@
     : state_(state),
       on_closed_(std::move(on_closed)),
       stream_(Stream::Adopt(state.loop, std::move(socket))),
-      last_activity_(state.loop.Now()) {}
+      held_(state.request_buffers),
+      last_activity_(state.loop.Now()),
+      last_progress_(last_activity_) {}
 
 void CallerConnection::Start() {
   Stream::Handlers handlers;
@@ -68,8 +72,67 @@
   last_activity_ = state_.loop.Now();
   if (closing_)
     return;
+  bytes_since_progress_ += data.size();
+  if (bytes_since_progress_ >= kProgressBytes) {
+    bytes_since_progress_ = 0;
+    last_progress_ = last_activity_;
+  }
+  const auto self = shared_from_this();
   input_.append(data);
   ReadRequests();
+  state_.bound_request_bytes();
+}
+
+void CallerConnection::CountHeldBytes() {
+  if (input_.empty() && input_.capacity() > kMaxKeptInputBytes)
+    input_ = std::string();
+  held_.Set(input_.capacity());
+}
+
+CallerHold CallerConnection::Hold() const {
+  CallerHold out;
+  out.last_progress = last_progress_;
+  if (is_lingering_) {
+    out.stage = CallerStage::kClosing;
+    return out;
+  }
+  if (reading_exchange_)
+    out.stage = reading_exchange_->wants_body() ? CallerStage::kReceiving
+                                                : CallerStage::kWaiting;
+  else if (!queue_.empty())
+    out.stage = CallerStage::kWaiting;
+  else if (reader_ && (reader_->has_started() || !input_.empty()))
+    out.stage = CallerStage::kReceiving;
+  if (gave_way_)
+    return out;
+  out.bytes = held_.bytes();
+  for (const ExchangePtr& it : queue_)
+    out.bytes += it->held_bytes();
+  return out;
+}
+
+void CallerConnection::GiveWay() {
+  const auto self = shared_from_this();
+  if (is_lingering_) {
+    stream_->Close();
+    return;
+  }
+  gave_way_ = true;
+  closing_ = true;
+  reader_.reset();
+  input_.clear();
+  CountHeldBytes();
+  const ExchangePtr exchange = std::exchange(reading_exchange_, nullptr);
+  for (const ExchangePtr& it : std::deque<ExchangePtr>(queue_)) {
+    if (it->has_begun())
+      it->ReleaseSentBody();
+    else
+      it->OnGiveWay();
+  }
+  if (exchange)
+    exchange->OnGiveWay();
+  if (queue_.empty() && stream_->is_open() && !is_lingering_)
+    Close(true);
 }
 
 bool CallerConnection::MayReadNext() const {
@@ -95,6 +158,7 @@
 }
 
 void CallerConnection::UpdateReading() {
+  CountHeldBytes();
   if (!stream_->is_open())
     return;
   // Keeps reading while the buffer has room, even if no request may be parsed:
@@ -133,6 +197,7 @@
   reading_exchange_ = std::make_shared<GatewayExchange>(
       state_, weak_from_this(), reader_->head(), request_started_);
   queue_.push_back(reading_exchange_);
+  last_progress_ = last_activity_;
   if (reading_exchange_->request().expects_continue &&
       reader_->state() == HttpReadState::kBody && queue_.size() == 1)
     stream_->Write(kContinue);
@@ -256,6 +321,7 @@
       break;
     queue_.pop_front();
     last_activity_ = state_.loop.Now();
+    last_progress_ = last_activity_;
     if (front->closes_connection) {
       Close(true);
       return;
@@ -288,6 +354,7 @@
   };
   // The process does not exit before the buffered answers are sent.
   const bool lingers = gracefully && stream_->is_open();
+  is_lingering_ = lingers;
   if (lingers)
     stream_->CloseGracefully(on_closed);
   else
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -30,6 +30,12 @@
   void CloseIfTimedOut(Time now);
   // Closes the connection unless a request on it is unanswered.
   void CloseIfIdle();
+  // What the connection holds, by which the host decides whether it gives way.
+  CallerHold Hold() const;
+  // The host needs its memory or its descriptor: refuses requests that have
+  // not begun or whose body is incomplete, and closes the connection after the
+  // answers to the others. A connection that is closing is closed at once.
+  void GiveWay();
   // The host is about to exit: answers the open requests and closes.
   void EndOpenRequests();
 
@@ -57,6 +63,7 @@
   void Close(bool gracefully);
   bool IsFront(const GatewayExchange& exchange) const;
   void UpdateReading();
+  void CountHeldBytes();
 
   GatewayState& state_;
   OnClosed on_closed_;
@@ -68,8 +75,13 @@
   bool closing_ = false;           // No more requests are read.
   bool close_decided_ = false;     // An answer's head has said `close`.
   bool in_read_ = false;
+  bool is_lingering_ = false;  // See Stream::CloseGracefully().
+  bool gave_way_ = false;
+  BufferedBytes held_;  // By `input_`.
   Time last_activity_;
-  Time request_started_;  // When reading of the current head began.
+  Time last_progress_;               // See CallerHold.
+  size_t bytes_since_progress_ = 0;  // Received.
+  Time request_started_;             // When reading of the current head began.
 };
 
 }  // namespace sassafras
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -25,6 +25,8 @@
 // Retry-After until the first configuration is loaded, or the state is known to
 // be current, which takes about this long.
 constexpr Duration kUnknownStateRetryAfter = std::chrono::milliseconds(500);
+// Retry-After of a request that gave way to others.
+constexpr Duration kGiveWayRetryAfter = std::chrono::milliseconds(500);
 // Retry-After of a host that cannot serve what others can; the caller can go to
 // another host at once.
 constexpr Duration kOtherHostRetryAfter = Duration(0);
@@ -52,8 +54,10 @@
       body_length_(head.content_length),
       config_(state.config),
       arrived_(arrived),
-      deadline_(arrived) {
+      deadline_(arrived),
+      held_(state.request_buffers) {
   ++state_.open_exchanges;
+  CountHeldBytes();
   FollowConfiguration();
 }
 
@@ -262,8 +266,7 @@
   if (finished_ || body_complete_)
     return true;
   const size_t sent = try_ ? try_->body_bytes_sent : body_begin_;
-  return body_begin_ + body_.size() - sent < kMaxBufferedBodyBytes ||
-         (sends_ == 0 && !try_);
+  return body_begin_ + body_.size() - sent < kMaxBufferedBodyBytes;
 }
 
 void GatewayExchange::OnBody(std::string_view data) {
@@ -271,6 +274,7 @@
   if (finished_ || answer_begun_)
     return;
   body_ += data;
+  CountHeldBytes();
   if (!begun_)
     return;
   if (try_ && try_->head_sent)
@@ -289,6 +293,34 @@
     StartTries();
 }
 
+void GatewayExchange::CountHeldBytes() {
+  const size_t unsent = try_ && try_->stream ? try_->stream->pending() : 0;
+  held_.Set(kRequestOverheadBytes + body_.capacity() + unsent);
+}
+
+void GatewayExchange::ReleaseBody() {
+  body_begin_ += body_.size();
+  body_ = std::string();
+  CountHeldBytes();
+}
+
+void GatewayExchange::ReleaseSentBody() {
+  if (try_ && try_->request_sent)
+    ReleaseBody();
+}
+
+void GatewayExchange::OnGiveWay() {
+  const auto self = shared_from_this();
+  if (finished_)
+    return;
+  const bool may_run = may_have_run_ || (try_ && try_->head_sent);
+  SendOwnAnswer(
+      RefusalStatus(may_run), "gave_way",
+      may_run ? std::nullopt : std::optional<Duration>(kGiveWayRetryAfter));
+  if (try_)
+    EndTry(try_->head_sent ? TryOutcome::kTimedOut : TryOutcome::kWithheld);
+}
+
 void GatewayExchange::OnBodyFault(int status) {
   if (finished_)
     return;
@@ -513,6 +545,7 @@
     // The caller must notice that the answer is truncated.
     finished_ = true;
     timer_.reset();
+    ReleaseBody();
     if (sink)
       sink->Abort(*this);
     return;
@@ -531,6 +564,7 @@
 void GatewayExchange::Finish(int status, const char* cause) {
   finished_ = true;
   timer_.reset();
+  ReleaseBody();
   const Duration took = state_.loop.Now() - arrived_;
   const auto since_arrival = [&](Time at) {
     return at == Time() ? -1 : Millis(at - arrived_);
@@ -609,6 +643,7 @@
       .With("ms", Millis(state_.loop.Now() - arrived_));
   state_.metrics.Count("gateway_callers_left_total", "");
   if (must_run_on) {
+    ReleaseBody();
     // Non-idempotent work must not be cancelled halfway: the timer owns the
     // exchange until the endpoint answers or the deadline passes.
     timer_ =
@@ -621,6 +656,7 @@
   }
   finished_ = true;
   timer_.reset();
+  ReleaseBody();
   if (try_)
     EndTry(TryOutcome::kTimedOut);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,6 +70,12 @@
   // The host is about to exit: ends the work and answers the caller, or
   // truncates an answer that has begun.
   void OnHostExit();
+  // The host needs the memory or the connection: ends a request that has not
+  // begun or whose body is not complete. It is refused if no endpoint got any
+  // of it.
+  void OnGiveWay();
+  // Releases the part of the body that is kept only to send it again.
+  void ReleaseSentBody();
   // All buffered output was sent to the caller: resumes reading the endpoint's
   // answer.
   void OnCallerDrained();
@@ -84,6 +90,8 @@
   // Whether the request was sent to any endpoint.
   bool was_dispatched() const { return sends_ > 0; }
   const CallerRequest& request() const { return request_; }
+  // Of the request; see RequestBuffers.
+  size_t held_bytes() const { return held_.bytes(); }
   bool caller_keeps_alive() const { return caller_keeps_alive_; }
 
   // State of an answer that waits for earlier answers on the connection; used
@@ -156,6 +164,8 @@
                      std::optional<Duration> retry_after);
   void Finish(int status, const char* cause);
   void OnDeadline();
+  void CountHeldBytes();
+  void ReleaseBody();
   void StartTimer(Duration delay);
   HttpFields AnswerFields(const WireAnswer& answer);
   void RecordOutcome(const Try& ended, TryOutcome outcome);
@@ -192,6 +202,7 @@
   std::string body_;       // Request's body from offset `body_begin_`.
   size_t body_begin_ = 0;  // Bytes of the body already discarded.
   bool body_complete_ = false;
+  BufferedBytes held_;
   uint64_t answer_bytes_ = 0;  // Forwarded bytes of the answer's body.
 
   std::unique_ptr<Try> try_;
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -223,7 +223,7 @@
 
 void GatewayExchange::SendBody() {
   Try& t = *try_;
-  if (t.request_sent || !t.stream)
+  if (finished_ || t.request_sent || !t.stream)
     return;
   while (t.stream->can_send() && t.stream->pending() < kMaxPendingSendBytes) {
     const size_t at = t.body_bytes_sent - body_begin_;
@@ -239,6 +239,7 @@
     body_.erase(0, t.body_bytes_sent - body_begin_);
     body_begin_ = t.body_bytes_sent;
   }
+  CountHeldBytes();
   if (body_complete_ && t.stream->can_send() &&
       t.body_bytes_sent == body_begin_ + body_.size()) {
     t.request_sent = true;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,9 +1,11 @@
 #include "gateway/gateway.h"
 
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <chrono>
 #include <csignal>
+#include <functional>
 #include <unordered_map>
 #include <utility>
 
@@ -16,6 +18,7 @@
 #include "gateway/state_dump.h"
 #include "gateway/store_cache_feed.h"
 #include "platform/platform.h"
+#include "routing/request_buffers.h"
 #include "routing/stop_policy.h"
 
 namespace sassafras {
@@ -33,6 +36,9 @@
 constexpr Duration kDrainPollPeriod = std::chrono::milliseconds(20);
 // Limits the connections accepted in one turn of the event loop.
 constexpr int kMaxAcceptsPerTurn = 32;
+// Once a bound is met, this part of it is released, so that it is not met again
+// at once.
+constexpr size_t kReleasedParts = 16;
 // For each of the servers of StartAuxiliaryServers().
 constexpr unsigned kMaxAuxiliaryConnections = 256;
 
@@ -63,6 +69,7 @@
             [this] { gossip_.Announce(); }),
         gossip_(state_) {
     state_.announce = [this] { gossip_.AnnounceSoon(); };
+    state_.bound_request_bytes = [this] { BoundRequestBytes(); };
     HostNotice& self = state_.members.self;
     self.id = settings.host;
     self.ip = settings.ip;
@@ -229,6 +236,49 @@
     }
   }
 
+  void BoundRequestBytes() {
+    const size_t max = MaxRequestBytes(state_.settings.memory_bytes);
+    const size_t bytes = state_.request_buffers.bytes;
+    if (bytes <= max)
+      return;
+    LetGiveWay("memory", [&](const auto& holds) {
+      return ChooseForBytes(holds, bytes - max + max / kReleasedParts);
+    });
+  }
+
+  // Lets those connections give way that `choose` picks by what they hold.
+  void LetGiveWay(
+      const char* cause,
+      const std::function<std::vector<size_t>(const std::vector<CallerHold>&)>&
+          choose) {
+    if (gives_way_)
+      return;
+    gives_way_ = true;
+    std::vector<std::shared_ptr<CallerConnection>> all;
+    std::vector<CallerHold> holds;
+    all.reserve(connections_.size());
+    holds.reserve(connections_.size());
+    for (const auto& [raw, it] : connections_) {
+      all.push_back(it);
+      holds.push_back(it->Hold());
+    }
+    for (const size_t i : choose(holds)) {
+      const CallerHold& hold = holds[i];
+      LogLine(LogLevel::kWarning, "caller", "Connection gave way to others.")
+          .With("cause", cause)
+          .With("stage", NameOf(hold.stage))
+          .With("bytes", hold.bytes)
+          .With("idle_ms", Millis(loop_.Now() - hold.last_progress))
+          .With("all_bytes", state_.request_buffers.bytes)
+          .With("connections", connections_.size());
+      state_.metrics.Count("gateway_connections_gave_way_total",
+                           "cause=\"" + std::string(cause) + "\",stage=\"" +
+                               std::string(NameOf(hold.stage)) + "\"");
+      all[i]->GiveWay();
+    }
+    gives_way_ = false;
+  }
+
   // Iterates over a copy, because `fn` may close and thereby erase connections.
   template <typename Fn>
   void ForEachConnection(Fn fn) {
@@ -243,6 +293,11 @@
   void Sweep() {
     const Time now = loop_.Now();
     ForEachConnection([now](CallerConnection& it) { it.CloseIfTimedOut(now); });
+    // Freed memory between other blocks stays with the process otherwise.
+    if (ShouldTrim(state_.request_buffers, state_.settings.memory_bytes)) {
+      malloc_trim(0);
+      state_.request_buffers.peak = state_.request_buffers.bytes;
+    }
   }
 
   void ReloadIfChanged() {
@@ -339,6 +394,7 @@
   Gossip gossip_;
   Socket listener_;
   std::unique_ptr<Watch> accept_;
+  bool gives_way_ = false;
   std::vector<std::unique_ptr<HttpServer>> auxiliary_servers_;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
       connections_;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -23,6 +23,7 @@
 #include "routing/endpoint_set.h"
 #include "routing/host_members.h"
 #include "routing/placement.h"
+#include "routing/request_buffers.h"
 #include "routing/state_freshness.h"
 #include "routing/steering_config.h"
 #include "routing/unanswered_sends.h"
@@ -58,6 +59,7 @@
   BodySizes body_sizes;
   CrashHistory crashes;
   UnansweredSends unanswered_sends;
+  RequestBuffers request_buffers;
   ServiceDemands demands;
   std::unordered_map<ServiceId, RetryAllowance> retries;
   EndpointConnectionPool pool;
@@ -66,6 +68,8 @@
   // Sends all hosts what this host has learnt, without waiting for the next
   // gossip round.
   std::function<void()> announce = [] {};
+  // Lets callers give way if their requests hold too many bytes.
+  std::function<void()> bound_request_bytes = [] {};
   // Set after SIGTERM or SIGINT. Answers then close their connections.
   bool stopping = false;
   // See StopSchedule::no_cuts.
--- a/src/gateway/stream.cc
+++ b/src/gateway/stream.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr size_t kReadBufferBytes = 32 << 10;
+// Capacity that an empty send buffer keeps.
+constexpr size_t kMaxKeptSendBytes = 8 << 10;
 // Reads per turn of the event loop, so that one connection cannot block it.
 constexpr int kMaxReadsPerTurn = 4;
 // How long CloseGracefully() waits for the peer to close its side, after all
@@ -147,6 +149,8 @@
     return;
   }
   const bool drained = send_offset_ > 0;
+  if (send_buffer_.capacity() > kMaxKeptSendBytes)
+    send_buffer_ = std::string();
   send_buffer_.clear();
   send_offset_ = 0;
   if (closing_)
--- /dev/null
+++ b/src/routing/request_buffers.cc
@@ -0,0 +1,61 @@
+#include "routing/request_buffers.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace sassafras {
+
+namespace {
+
+// One in this many parts of the host's memory is for requests.
+constexpr uint64_t kMemoryParts = 5;
+// One in this many parts of the host's memory, released, is worth the time to
+// return it.
+constexpr uint64_t kTrimParts = 16;
+
+bool WaitsForCaller(const CallerHold& hold) {
+  return hold.stage == CallerStage::kReceiving ||
+         hold.stage == CallerStage::kIdle;
+}
+
+std::vector<size_t> Indices(size_t n) {
+  std::vector<size_t> out(n);
+  std::iota(out.begin(), out.end(), size_t{0});
+  return out;
+}
+
+}  // namespace
+
+size_t MaxRequestBytes(uint64_t memory_bytes) {
+  return static_cast<size_t>(memory_bytes / kMemoryParts);
+}
+
+bool ShouldTrim(const RequestBuffers& buffers, uint64_t memory_bytes) {
+  return buffers.peak - buffers.bytes > memory_bytes / kTrimParts;
+}
+
+std::vector<size_t> ChooseForBytes(const std::vector<CallerHold>& holds,
+                                   size_t excess) {
+  std::vector<size_t> order = Indices(holds.size());
+  std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+    const CallerHold& x = holds[a];
+    const CallerHold& y = holds[b];
+    if (WaitsForCaller(x) != WaitsForCaller(y))
+      return WaitsForCaller(x);
+    return WaitsForCaller(x) ? x.last_progress < y.last_progress
+                             : x.last_progress > y.last_progress;
+  });
+  std::vector<size_t> out;
+  size_t released = 0;
+  for (const size_t i : order) {
+    if (released >= excess)
+      break;
+    if (holds[i].bytes == 0 || holds[i].stage == CallerStage::kClosing)
+      continue;
+    out.push_back(i);
+    released += holds[i].bytes;
+  }
+  return out;
+}
+
+}  // namespace sassafras
