Bound what the kernel receives from callers

A crowd that sends faster than the host reads made it exceed its memory, of which received and unread bytes are a part.

Cause: the receive buffers of callers' sockets were those of the kernel, which grow to megabytes each, whatever the number of connections.

Change: the listener has a receive buffer that shares a quarter of the host's memory among the open connections and those that may wait to be accepted, between 32 and 64 KB; 64 KB is what the kernel starts with by default. Set on the listener, since a window that shrinks on an open connection stalls its sender.

--- a/src/base/socket.cc
+++ b/src/base/socket.cc
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr int kListenBacklog = 512;
 // A peer that has acknowledged no sent data for this long counts as gone.
 constexpr int kPeerTimeoutMs = 2500;
 // TCP keepalive: idle time before the first probe, interval between probes, and
@@ -96,6 +95,10 @@
   return socket;
 }
 
+void SetReceiveBuffer(const Socket& listener, size_t bytes) {
+  SetOption(listener.fd(), SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
 Socket AcceptConnection(const Socket& listener) {
   Socket socket(
       ::accept4(listener.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -45,6 +45,13 @@
 // IsConnected() tells the outcome.
 Result<Socket> StartConnect(const Address& address, const std::string& from_ip);
 
+// Connections that may wait to be accepted.
+inline constexpr int kListenBacklog = 512;
+
+// Bounds what the kernel receives for the process to read, on connections that
+// are accepted later.
+void SetReceiveBuffer(const Socket& listener, size_t bytes);
+
 // Accepts the next pending connection; the socket is invalid if there is none.
 Socket AcceptConnection(const Socket& listener);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -103,6 +103,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     settings_stamp_ = FileStamp(settings_path_);
     BOOST_LEAF_ASSIGN(listener_, Listen(state_.settings.caller_address));
+    BoundReceiveBuffers();
     accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
                              [this](bool, bool) { Accept(); });
     BOOST_LEAF_CHECK(StartAuxiliaryServers());
@@ -225,6 +226,7 @@
 
   void Accept() {
     for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
+      BoundReceiveBuffers();
       Socket socket = AcceptConnection(listener_);
       if (!socket.valid())
         return;
@@ -236,6 +238,16 @@
     }
   }
 
+  void BoundReceiveBuffers() {
+    // Connections that wait to be accepted already have buffers.
+    const size_t bytes = ReceiveBufferBytes(
+        state_.settings.memory_bytes, connections_.size() + kListenBacklog);
+    if (bytes == receive_buffer_bytes_)
+      return;
+    receive_buffer_bytes_ = bytes;
+    SetReceiveBuffer(listener_, bytes);
+  }
+
   void BoundRequestBytes() {
     const size_t max = MaxRequestBytes(state_.settings.memory_bytes);
     const size_t bytes = state_.request_buffers.bytes;
@@ -394,6 +406,7 @@
   Gossip gossip_;
   Socket listener_;
   std::unique_ptr<Watch> accept_;
+  size_t receive_buffer_bytes_ = 0;
   bool gives_way_ = false;
   std::vector<std::unique_ptr<HttpServer>> auxiliary_servers_;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
--- a/src/routing/request_buffers.cc
+++ b/src/routing/request_buffers.cc
@@ -9,6 +9,13 @@
 
 // One in this many parts of the host's memory is for requests.
 constexpr uint64_t kMemoryParts = 5;
+// The same for what the kernel has received and the host has not read.
+constexpr uint64_t kReceiveBufferParts = 4;
+constexpr uint64_t kMinReceiveBufferBytes = 32 << 10;
+// What the kernel gives a new connection without a bound.
+constexpr uint64_t kMaxReceiveBufferBytes = 64 << 10;
+// Not every new connection changes the size.
+constexpr uint64_t kReceiveBufferStep = 8 << 10;
 // One in this many parts of the host's memory, released, is worth the time to
 // return it.
 constexpr uint64_t kTrimParts = 16;
@@ -30,6 +37,14 @@
   return static_cast<size_t>(memory_bytes / kMemoryParts);
 }
 
+size_t ReceiveBufferBytes(uint64_t memory_bytes, size_t connections) {
+  const uint64_t share =
+      memory_bytes / kReceiveBufferParts / std::max<size_t>(connections, 1);
+  return static_cast<size_t>(
+      std::clamp(share / kReceiveBufferStep * kReceiveBufferStep,
+                 kMinReceiveBufferBytes, kMaxReceiveBufferBytes));
+}
+
 bool ShouldTrim(const RequestBuffers& buffers, uint64_t memory_bytes) {
   return buffers.peak - buffers.bytes > memory_bytes / kTrimParts;
 }
--- a/src/routing/request_buffers.h
+++ b/src/routing/request_buffers.h
@@ -83,6 +83,10 @@
 // system.
 bool ShouldTrim(const RequestBuffers& buffers, uint64_t memory_bytes);
 
+// Size of the kernel's receive buffer for one of `connections` callers, so that
+// all together hold a part of the host's memory. Between 32 KB and 64 KB.
+size_t ReceiveBufferBytes(uint64_t memory_bytes, size_t connections);
+
 // Returns the callers that give way so that `excess` bytes are released, as
 // indices of `holds`. Those that wait for their caller come first, in the order
 // of their last progress; then the others, with the latest one first.
--- a/tests/routing/request_buffers_test.cc
+++ b/tests/routing/request_buffers_test.cc
@@ -36,6 +36,22 @@
   EXPECT_TRUE(ShouldTrim(buffers, 160 * kMegabyte));
 }
 
+TEST(RequestBuffersTest, ReceiveBuffersShareAPartOfTheMemory) {
+  struct Case {
+    uint64_t memory_bytes;
+    size_t connections;
+    size_t bytes;
+  };
+  const std::vector<Case> cases = {
+      {182 * kMegabyte, 0, 64 << 10},    {182 * kMegabyte, 728, 64 << 10},
+      {182 * kMegabyte, 729, 56 << 10},  {182 * kMegabyte, 1024, 40 << 10},
+      {182 * kMegabyte, 5000, 32 << 10}, {64 * kMegabyte, 512, 32 << 10},
+  };
+  for (const Case& it : cases)
+    EXPECT_EQ(ReceiveBufferBytes(it.memory_bytes, it.connections), it.bytes)
+        << it.connections;
+}
+
 TEST(RequestBuffersTest, CallersWithoutProgressReleaseBytesFirst) {
   const std::vector<CallerHold> holds = {
       MakeHold(CallerStage::kReceiving, 100, 30),
