Bound the connections of callers

Callers: while a crowd held more connections than the host has descriptors, the host had none left for endpoints, the store and other hosts, and ordinary callers could not connect. The process then used a core for nothing.

Cause: connections of callers were not bounded, although max-fds is known. A failure to accept left the listener readable, so that its watch ran without end.

Change: four fifths of the sockets are for callers. Those that wait for answers stay; if all do, the new connection is closed. After a failure to accept for lack of descriptors some give way too, and the host accepts again after 50 ms.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,8 +3,10 @@
 #include <malloc.h>
 #include <sys/stat.h>
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <cstring>
 #include <functional>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +38,8 @@
 constexpr Duration kDrainPollPeriod = std::chrono::milliseconds(20);
 // Limits the connections accepted in one turn of the event loop.
 constexpr int kMaxAcceptsPerTurn = 32;
+// After a failure to accept for lack of descriptors or memory.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 // Once a bound is met, this part of it is released, so that it is not met again
 // at once.
 constexpr size_t kReleasedParts = 16;
@@ -104,8 +108,7 @@
     settings_stamp_ = FileStamp(settings_path_);
     BOOST_LEAF_ASSIGN(listener_, Listen(state_.settings.caller_address));
     BoundReceiveBuffers();
-    accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
-                             [this](bool, bool) { Accept(); });
+    StartAccepting();
     BOOST_LEAF_CHECK(StartAuxiliaryServers());
     BOOST_LEAF_CHECK(feed_.Start());
     gossip_.set_on_round([this] { feed_.OnRound(); });
@@ -224,12 +227,26 @@
     gossip_.Announce();
   }
 
+  void StartAccepting() {
+    accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
+                             [this](bool, bool) { Accept(); });
+  }
+
   void Accept() {
     for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
       BoundReceiveBuffers();
       Socket socket = AcceptConnection(listener_);
-      if (!socket.valid())
+      if (!socket.valid()) {
+        const bool has_failed = errno == EMFILE || errno == ENFILE ||
+                                errno == ENOBUFS || errno == ENOMEM;
+        if (has_failed)
+          PauseAccepting(errno);
         return;
+      }
+      if (!BoundConnections()) {
+        state_.metrics.Count("gateway_connections_refused_total", "");
+        continue;
+      }
       auto connection = std::make_shared<CallerConnection>(
           state_, std::move(socket),
           [this](CallerConnection* it) { connections_.erase(it); });
@@ -238,6 +255,22 @@
     }
   }
 
+  // The listener stays readable, so that its watch would run without end.
+  void PauseAccepting(int error) {
+    LogLine(LogLevel::kWarning, kPart, "Cannot accept connections.")
+        .With("reason", std::strerror(error))
+        .With("connections", connections_.size());
+    const size_t n = connections_.size() / kReleasedParts + 1;
+    LetGiveWay("accept", [n](const auto& holds) {
+      return ChooseForConnections(holds, n);
+    });
+    accept_.reset();
+    accept_timer_ = loop_.After(kAcceptPause, [this] {
+      if (listener_.valid())
+        StartAccepting();
+    });
+  }
+
   void BoundReceiveBuffers() {
     // Connections that wait to be accepted already have buffers.
     const size_t bytes = ReceiveBufferBytes(
@@ -248,6 +281,22 @@
     SetReceiveBuffer(listener_, bytes);
   }
 
+  // Makes room for another connection. Returns whether there is.
+  bool BoundConnections() {
+    const size_t max = MaxCallerConnections(state_.settings.max_sockets);
+    const size_t part = max / kReleasedParts + 1;
+    const auto choose = [part](const auto& holds) {
+      return ChooseForConnections(holds, part);
+    };
+    // Those that give way are still open until their callers close, or until
+    // they are chosen again.
+    if (connections_.size() >= max)
+      LetGiveWay("connections", choose);
+    if (connections_.size() >= max)
+      LetGiveWay("connections", choose);
+    return connections_.size() < max;
+  }
+
   void BoundRequestBytes() {
     const size_t max = MaxRequestBytes(state_.settings.memory_bytes);
     const size_t bytes = state_.request_buffers.bytes;
@@ -380,6 +429,7 @@
     // Connections that wait to be accepted would be reset.
     Accept();
     accept_.reset();
+    accept_timer_.reset();
     listener_.Close();
     CloseIdle();
     drain_poll_timer_ = loop_.Every(kDrainPollPeriod, [this] { CloseIdle(); });
@@ -406,6 +456,7 @@
   Gossip gossip_;
   Socket listener_;
   std::unique_ptr<Watch> accept_;
+  std::unique_ptr<Watch> accept_timer_;
   size_t receive_buffer_bytes_ = 0;
   bool gives_way_ = false;
   std::vector<std::unique_ptr<HttpServer>> auxiliary_servers_;
--- a/src/routing/request_buffers.cc
+++ b/src/routing/request_buffers.cc
@@ -16,6 +16,8 @@
 constexpr uint64_t kMaxReceiveBufferBytes = 64 << 10;
 // Not every new connection changes the size.
 constexpr uint64_t kReceiveBufferStep = 8 << 10;
+// One in this many parts of the host's sockets is not for callers.
+constexpr uint64_t kReservedSocketParts = 5;
 // One in this many parts of the host's memory, released, is worth the time to
 // return it.
 constexpr uint64_t kTrimParts = 16;
@@ -49,6 +51,11 @@
   return buffers.peak - buffers.bytes > memory_bytes / kTrimParts;
 }
 
+size_t MaxCallerConnections(uint64_t max_sockets) {
+  return static_cast<size_t>(
+      std::max<uint64_t>(max_sockets - max_sockets / kReservedSocketParts, 1));
+}
+
 std::vector<size_t> ChooseForBytes(const std::vector<CallerHold>& holds,
                                    size_t excess) {
   std::vector<size_t> order = Indices(holds.size());
@@ -73,4 +80,23 @@
   return out;
 }
 
+std::vector<size_t> ChooseForConnections(const std::vector<CallerHold>& holds,
+                                         size_t n) {
+  std::vector<size_t> order = Indices(holds.size());
+  order.erase(std::remove_if(order.begin(), order.end(),
+                             [&](size_t i) {
+                               return holds[i].stage == CallerStage::kWaiting;
+                             }),
+              order.end());
+  std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+    const bool a_closes = holds[a].stage == CallerStage::kClosing;
+    const bool b_closes = holds[b].stage == CallerStage::kClosing;
+    if (a_closes != b_closes)
+      return a_closes;
+    return holds[a].last_progress < holds[b].last_progress;
+  });
+  order.resize(std::min(order.size(), n));
+  return order;
+}
+
 }  // namespace sassafras
--- a/src/routing/request_buffers.h
+++ b/src/routing/request_buffers.h
@@ -1,8 +1,8 @@
-// Bounds the memory that callers hold with requests that
+// Bounds the memory and the connections that callers hold with requests that
 // the host has not passed on yet.
 //
 // Handles callers that send bodies and stop short of their end, and crowds of
-// callers whose requests together exceed the host's memory. When
+// callers whose requests together exceed the host's memory or descriptors. When
 // a bound is met, the callers that have made no progress for longest give way,
 // so that those whose requests go on are served.
 #ifndef ROUTING_REQUEST_BUFFERS_H_
@@ -87,12 +87,22 @@
 // all together hold a part of the host's memory. Between 32 KB and 64 KB.
 size_t ReceiveBufferBytes(uint64_t memory_bytes, size_t connections);
 
+// Connections that callers may have open. Leaves some of the host's sockets for
+// endpoints, other hosts and the store.
+size_t MaxCallerConnections(uint64_t max_sockets);
+
 // Returns the callers that give way so that `excess` bytes are released, as
 // indices of `holds`. Those that wait for their caller come first, in the order
 // of their last progress; then the others, with the latest one first.
 std::vector<size_t> ChooseForBytes(const std::vector<CallerHold>& holds,
                                    size_t excess);
 
+// Returns up to `n` callers that give way for new connections: first those that
+// are closing, then those that wait for their caller, in the order of their
+// last progress. Callers that wait for the host are never chosen.
+std::vector<size_t> ChooseForConnections(const std::vector<CallerHold>& holds,
+                                         size_t n);
+
 }  // namespace sassafras
 
 #endif  // ROUTING_REQUEST_BUFFERS_H_
--- a/tests/gateway/client_crowd_test.cc
+++ b/tests/gateway/client_crowd_test.cc
@@ -3,6 +3,7 @@
 // connections than the host has descriptors for.
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -250,5 +251,21 @@
   EXPECT_LE(sockets_, kMaxSockets);
 }
 
+// Fewer descriptors than the settings say: what the platform enforces holds.
+TEST_F(ClientCrowdTest, HostOutOfDescriptorsServesOthersWithoutSpinning) {
+  constexpr rlim_t kDescriptors = 100;
+  Start();
+  world_.SetDescriptorLimit(1, kDescriptors);
+  Crowd crowd(world_.loop(), address_, kCrowd, {});
+  Wait(seconds(1));
+  const Duration before = world_.CpuTimeOf(1);
+  Wait(seconds(2));
+  // A process that spins uses all of that time.
+  EXPECT_LT(world_.CpuTimeOf(1) - before, seconds(1));
+  ExpectOrdinaryRequestsAreAnswered("during");
+  EXPECT_GT(crowd.CountOpen(), 0U);
+  EXPECT_FALSE(world_.HasExited(1)) << world_.last_exit();
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/routing/request_buffers_test.cc
+++ b/tests/routing/request_buffers_test.cc
@@ -52,6 +52,12 @@
         << it.connections;
 }
 
+TEST(RequestBuffersTest, SomeSocketsAreNotForCallers) {
+  EXPECT_EQ(MaxCallerConnections(2670), 2136U);
+  EXPECT_EQ(MaxCallerConnections(250), 200U);
+  EXPECT_EQ(MaxCallerConnections(0), 1U);
+}
+
 TEST(RequestBuffersTest, CallersWithoutProgressReleaseBytesFirst) {
   const std::vector<CallerHold> holds = {
       MakeHold(CallerStage::kReceiving, 100, 30),
@@ -69,5 +75,18 @@
   EXPECT_EQ(ChooseForBytes(holds, 9000), std::vector<size_t>({2, 5, 0, 6, 1}));
 }
 
+TEST(RequestBuffersTest, IdleAndStalledCallersLeaveTheirConnectionsFirst) {
+  const std::vector<CallerHold> holds = {
+      MakeHold(CallerStage::kReceiving, 100, 30),
+      MakeHold(CallerStage::kWaiting, 100, 1),
+      MakeHold(CallerStage::kIdle, 0, 20),
+      MakeHold(CallerStage::kClosing, 0, 50),
+      MakeHold(CallerStage::kReceiving, 100, 10),
+  };
+  EXPECT_EQ(ChooseForConnections(holds, 1), std::vector<size_t>({3}));
+  EXPECT_EQ(ChooseForConnections(holds, 3), std::vector<size_t>({3, 4, 2}));
+  EXPECT_EQ(ChooseForConnections(holds, 9), std::vector<size_t>({3, 4, 2, 0}));
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -923,6 +924,11 @@
   return n;
 }
 
+void PlatformWorld::SetDescriptorLimit(int index, size_t n) {
+  const rlimit limit{n, n};
+  prlimit(gateways_.at(index), RLIMIT_NOFILE, &limit, nullptr);
+}
+
 Duration PlatformWorld::CpuTimeOf(int index) const {
   std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) + "/stat");
   std::string text;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -455,6 +455,8 @@
   size_t UnreadBytesOf(int index) const;
   // Open sockets and pipes of the gateway's process.
   size_t OpenSocketsOf(int index) const;
+  // Lowers the limit that the system puts on the process's descriptors.
+  void SetDescriptorLimit(int index, size_t n);
   // CPU time that the gateway's process has used, in user and system mode.
   Duration CpuTimeOf(int index) const;
 
