--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,9 +1,13 @@
 #include "gateway/gateway.h"
 
+#include <malloc.h>
 #include <sys/stat.h>
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <cstring>
+#include <functional>
 #include <unordered_map>
 #include <utility>
 
@@ -16,6 +20,7 @@
 #include "gateway/state_dump.h"
 #include "gateway/store_cache_feed.h"
 #include "platform/platform.h"
+#include "routing/request_buffers.h"
 #include "routing/stop_policy.h"
 
 namespace sassafras {
@@ -33,6 +38,11 @@
 constexpr Duration kDrainPollPeriod = std::chrono::milliseconds(20);
 // Limits the connections accepted in one turn of the event loop.
 constexpr int kMaxAcceptsPerTurn = 32;
+// After a failure to accept for lack of descriptors or memory.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+// Once a bound is met, this part of it is released, so that it is not met again
+// at once.
+constexpr size_t kReleasedParts = 16;
 // For each of the servers of StartAuxiliaryServers().
 constexpr unsigned kMaxAuxiliaryConnections = 256;
 
@@ -63,6 +73,7 @@
             [this] { gossip_.Announce(); }),
         gossip_(state_) {
     state_.announce = [this] { gossip_.AnnounceSoon(); };
+    state_.bound_request_bytes = [this] { BoundRequestBytes(); };
     HostNotice& self = state_.members.self;
     self.id = settings.host;
     self.ip = settings.ip;
@@ -96,8 +107,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     settings_stamp_ = FileStamp(settings_path_);
     BOOST_LEAF_ASSIGN(listener_, Listen(state_.settings.caller_address));
-    accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
-                             [this](bool, bool) { Accept(); });
+    BoundReceiveBuffers();
+    StartAccepting();
     BOOST_LEAF_CHECK(StartAuxiliaryServers());
     BOOST_LEAF_CHECK(feed_.Start());
     gossip_.set_on_round([this] { feed_.OnRound(); });
@@ -216,11 +227,26 @@
     gossip_.Announce();
   }
 
+  void StartAccepting() {
+    accept_ = loop_.OnSocket(listener_.fd(), Ready::kRead,
+                             [this](bool, bool) { Accept(); });
+  }
+
   void Accept() {
     for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
+      BoundReceiveBuffers();
       Socket socket = AcceptConnection(listener_);
-      if (!socket.valid())
+      if (!socket.valid()) {
+        const bool has_failed = errno == EMFILE || errno == ENFILE ||
+                                errno == ENOBUFS || errno == ENOMEM;
+        if (has_failed)
+          PauseAccepting(errno);
         return;
+      }
+      if (!BoundConnections()) {
+        state_.metrics.Count("gateway_connections_refused_total", "");
+        continue;
+      }
       auto connection = std::make_shared<CallerConnection>(
           state_, std::move(socket),
           [this](CallerConnection* it) { connections_.erase(it); });
@@ -229,6 +255,91 @@
     }
   }
 
+  // The listener stays readable, so that its watch would run without end.
+  void PauseAccepting(int error) {
+    LogLine(LogLevel::kWarning, kPart, "Cannot accept connections.")
+        .With("reason", std::strerror(error))
+        .With("connections", connections_.size());
+    const size_t n = connections_.size() / kReleasedParts + 1;
+    LetGiveWay("accept", [n](const auto& holds) {
+      return ChooseForConnections(holds, n);
+    });
+    accept_.reset();
+    accept_timer_ = loop_.After(kAcceptPause, [this] {
+      if (listener_.valid())
+        StartAccepting();
+    });
+  }
+
+  void BoundReceiveBuffers() {
+    // Connections that wait to be accepted already have buffers.
+    const size_t bytes = ReceiveBufferBytes(
+        state_.settings.memory_bytes, connections_.size() + kListenBacklog);
+    if (bytes == receive_buffer_bytes_)
+      return;
+    receive_buffer_bytes_ = bytes;
+    SetReceiveBuffer(listener_, bytes);
+  }
+
+  // Makes room for another connection. Returns whether there is.
+  bool BoundConnections() {
+    const size_t max = MaxCallerConnections(state_.settings.max_sockets);
+    const size_t part = max / kReleasedParts + 1;
+    const auto choose = [part](const auto& holds) {
+      return ChooseForConnections(holds, part);
+    };
+    // Those that give way are still open until their callers close, or until
+    // they are chosen again.
+    if (connections_.size() >= max)
+      LetGiveWay("connections", choose);
+    if (connections_.size() >= max)
+      LetGiveWay("connections", choose);
+    return connections_.size() < max;
+  }
+
+  void BoundRequestBytes() {
+    const size_t max = MaxRequestBytes(state_.settings.memory_bytes);
+    const size_t bytes = state_.request_buffers.bytes;
+    if (bytes <= max)
+      return;
+    LetGiveWay("memory", [&](const auto& holds) {
+      return ChooseForBytes(holds, bytes - max + max / kReleasedParts);
+    });
+  }
+
+  // Lets those connections give way that `choose` picks by what they hold.
+  void LetGiveWay(
+      const char* cause,
+      const std::function<std::vector<size_t>(const std::vector<CallerHold>&)>&
+          choose) {
+    if (gives_way_)
+      return;
+    gives_way_ = true;
+    std::vector<std::shared_ptr<CallerConnection>> all;
+    std::vector<CallerHold> holds;
+    all.reserve(connections_.size());
+    holds.reserve(connections_.size());
+    for (const auto& [raw, it] : connections_) {
+      all.push_back(it);
+      holds.push_back(it->Hold());
+    }
+    for (const size_t i : choose(holds)) {
+      const CallerHold& hold = holds[i];
+      LogLine(LogLevel::kWarning, "caller", "Connection gave way to others.")
+          .With("cause", cause)
+          .With("stage", NameOf(hold.stage))
+          .With("bytes", hold.bytes)
+          .With("idle_ms", Millis(loop_.Now() - hold.last_progress))
+          .With("all_bytes", state_.request_buffers.bytes)
+          .With("connections", connections_.size());
+      state_.metrics.Count("gateway_connections_gave_way_total",
+                           "cause=\"" + std::string(cause) + "\",stage=\"" +
+                               std::string(NameOf(hold.stage)) + "\"");
+      all[i]->GiveWay();
+    }
+    gives_way_ = false;
+  }
+
   // Iterates over a copy, because `fn` may close and thereby erase connections.
   template <typename Fn>
   void ForEachConnection(Fn fn) {
@@ -243,6 +354,11 @@
   void Sweep() {
     const Time now = loop_.Now();
     ForEachConnection([now](CallerConnection& it) { it.CloseIfTimedOut(now); });
+    // Freed memory between other blocks stays with the process otherwise.
+    if (ShouldTrim(state_.request_buffers, state_.settings.memory_bytes)) {
+      malloc_trim(0);
+      state_.request_buffers.peak = state_.request_buffers.bytes;
+    }
   }
 
   void ReloadIfChanged() {
@@ -313,6 +429,7 @@
     // Connections that wait to be accepted would be reset.
     Accept();
     accept_.reset();
+    accept_timer_.reset();
     listener_.Close();
     CloseIdle();
     drain_poll_timer_ = loop_.Every(kDrainPollPeriod, [this] { CloseIdle(); });
@@ -339,6 +456,9 @@
   Gossip gossip_;
   Socket listener_;
   std::unique_ptr<Watch> accept_;
+  std::unique_ptr<Watch> accept_timer_;
+  size_t receive_buffer_bytes_ = 0;
+  bool gives_way_ = false;
   std::vector<std::unique_ptr<HttpServer>> auxiliary_servers_;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
       connections_;
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -1,10 +1,12 @@
 #include "standins/platform_world.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -13,6 +15,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -769,7 +772,8 @@
      << directory_ttl_s_ << "\nplatform.address="
      << (store == store_addresses_.end() ? StoreAddress() : store->second)
             .ToString()
-     << "\n";
+     << "\n"
+     << more_settings_;
   return os.str();
 }
 
@@ -888,6 +892,60 @@
   return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+size_t PlatformWorld::PeakMemoryOf(int index) const {
+  std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) +
+                     "/status");
+  const std::string key = "VmHWM:";
+  for (std::string line; std::getline(file, line);) {
+    if (line.rfind(key, 0) == 0)
+      return std::stoull(line.substr(key.size())) << 10;
+  }
+  return 0;
+}
+
+size_t PlatformWorld::UnreadBytesOf(int index) const {
+  const Address address = CallerAddressOf(index);
+  in_addr ip{};
+  inet_pton(AF_INET, address.ip.c_str(), &ip);
+  std::ostringstream local;
+  local << std::hex << std::uppercase << std::setfill('0') << std::setw(8)
+        << ip.s_addr << ':' << std::setw(4) << address.port;
+  constexpr const char* kEstablished = "01";
+  std::ifstream file("/proc/net/tcp");
+  size_t total = 0;
+  for (std::string line; std::getline(file, line);) {
+    std::istringstream fields(line);
+    std::string number;
+    std::string from;
+    std::string to;
+    std::string state;
+    std::string queues;  // Unsent and unread bytes.
+    fields >> number >> from >> to >> state >> queues;
+    if (from == local.str() && state == kEstablished)
+      total += std::stoull(queues.substr(queues.find(':') + 1), nullptr, 16);
+  }
+  return total;
+}
+
+size_t PlatformWorld::OpenSocketsOf(int index) const {
+  const std::filesystem::path folder =
+      "/proc/" + std::to_string(gateways_.at(index)) + "/fd";
+  std::error_code ec;
+  size_t n = 0;
+  for (const auto& it : std::filesystem::directory_iterator(folder, ec)) {
+    const std::string target =
+        std::filesystem::read_symlink(it.path(), ec).string();
+    if (target.rfind("socket:", 0) == 0 || target.rfind("pipe:", 0) == 0)
+      ++n;
+  }
+  return n;
+}
+
+void PlatformWorld::SetDescriptorLimit(int index, size_t n) {
+  const rlimit limit{n, n};
+  prlimit(gateways_.at(index), RLIMIT_NOFILE, &limit, nullptr);
+}
+
 Duration PlatformWorld::CpuTimeOf(int index) const {
   std::ifstream file("/proc/" + std::to_string(gateways_.at(index)) + "/stat");
   std::string text;
