Mark no changes as copies after a whole list of a new era

Found in reading the change again.

Cause: the mark for an era that was met with a partial list was set for a whole one too.

Test: ChangesAfterTheListOfANewEraAreNoCopies failed before (x86_64).

--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -288,7 +288,7 @@
     auto part = replaces_all
                     ? ApplyFullList(kind, items, *names, span.kind, span.as_of)
                     : ApplyChanges(kind, items);
-    if (MeetsNewEra(kind, span.as_of))
+    if (!replaces_all && MeetsNewEra(kind, span.as_of))
       BeginEra(kind, span.as_of, false);
     for (CacheItem& item : part)
       applied.push_back(std::move(item));
--- a/tests/routing/store_era_test.cc
+++ b/tests/routing/store_era_test.cc
@@ -59,6 +59,29 @@
   EXPECT_FALSE(written[0].is_restored);
 }
 
+// Incident 032.
+TEST(StoreEraTest, ChangesAfterTheListOfANewEraAreNoCopies) {
+  StoreCache relay = MakeStoreCache({"k"});
+  StoreCache host = MakeStoreCache({"k"});
+  CacheFollowers followers;
+  const auto follow = [&] {
+    return ApplyPush(host, OnFollow(followers, relay, kFollower,
+                                    PositionsOf(host), Duration(0), kStart));
+  };
+  ApplyStoreChange(relay, "k", List({{"k", "a", 90, "1"}}, 0, 100));
+  follow();
+  ApplyStoreChange(relay, "k", List({{"k", "a", 40, "0"}}, 1, 60));
+  const auto copied = follow();
+  ASSERT_EQ(copied.size(), 1U);
+  EXPECT_TRUE(copied[0].is_restored);
+  ApplyStoreChange(relay, "k", Change({"k", "b", 61, "1"}, 1, 61));
+  ApplyStoreChange(relay, "k", Change({"k", "a", 0, ""}, 1, 62));
+  const auto written = follow();
+  ASSERT_EQ(written.size(), 2U);
+  for (const CacheItem& it : written)
+    EXPECT_FALSE(it.is_restored) << it.name;
+}
+
 // Incident 032.
 TEST(StoreEraTest, LateAnswersOfAnEarlierEraChangeNothing) {
   StoreCache cache = MakeStoreCache({"k"});
