Answer the requests before one that cannot be read

Callers: a request that was not idempotent, and was followed on its connection by one that could not be read, got no answer if it had waited for its turn. The connection stayed open as long as the caller; since it counted as waiting for the host, a crowd of such connections would not have given way to others.

Cause: once no more requests are read, those that had been read were not begun either.

Change: requests are begun in their order up to one whose answer closes the connection. One that was ended before its turn is not begun.

Test: RequestsBeforeAMalformedOneAreAnswered.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -210,13 +210,16 @@
 void CallerConnection::BeginWaitingRequests() {
   const std::deque<ExchangePtr> waiting = queue_;
   for (const ExchangePtr& it : waiting) {
-    if (closing_ || close_decided_)
+    if (!stream_->is_open())
       return;
     const bool is_first = !queue_.empty() && queue_.front() == it;
     if (!is_first && !it->may_repeat())
       return;
-    if (!it->has_begun())
+    if (!it->has_begun() && !it->is_finished())
       it->Begin();
+    // Requests behind it count as not read.
+    if (it->closes_connection)
+      return;
   }
 }
 
--- a/tests/gateway/client_crowd_test.cc
+++ b/tests/gateway/client_crowd_test.cc
@@ -267,5 +267,20 @@
   EXPECT_FALSE(world_.HasExited(1)) << world_.last_exit();
 }
 
+// The requests before one that cannot be read wait for their turn and are
+// answered; then the connection closes.
+TEST_F(ClientCrowdTest, RequestsBeforeAMalformedOneAreAnswered) {
+  Start();
+  for (PlatformStandinEndpoint* it : endpoints_)
+    it->set_work_time(milliseconds(200));
+  const auto caller = Connect();
+  caller->Send(RequestText("GET", "/read/1", "m1") +
+               RequestText("POST", "/charge/1", "m2", "", "body") +
+               "malformed\r\n\r\n");
+  EXPECT_TRUE(
+      world_.RunUntil(seconds(30), [&] { return caller->is_closed(); }));
+  EXPECT_EQ(caller->answers().size(), 2U);
+}
+
 }  // namespace
 }  // namespace sassafras
