Tests: give the process tests of versions networks of their own

The first network is 110 now (80 tests of gateway_process_tests take 110 to 189, the 53 take 200 to 252), and a test program that runs out of networks says so.

--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,13 +18,18 @@
 namespace sassafras {
 
 inline constexpr std::chrono::milliseconds kAnswerTimeout{3000};
+inline constexpr int kMaxNetwork = 255;
 
 // Returns the second octet of loopback addresses that no other test uses at the
 // same time. TEST_NETWORK sets the first one, for runs of two checkouts at
 // once; TEST_NETWORK_OFFSET divides the following ones among the test programs.
 inline int NextLoopbackNetwork() {
   static const char* first = std::getenv("TEST_NETWORK");
-  static int network = (first ? std::atoi(first) : 120) + TEST_NETWORK_OFFSET;
+  static int network = (first ? std::atoi(first) : 110) + TEST_NETWORK_OFFSET;
+  if (network > kMaxNetwork) {
+    std::cerr << "No loopback network is left for this test.\n";
+    std::abort();
+  }
   return network++;
 }
 
