--- a/tests/gateway/restored_store_test.cc
+++ b/tests/gateway/restored_store_test.cc
@@ -200,6 +200,7 @@
   std::map<std::string, std::string> values;
   std::map<std::string, Time> seen;
   std::vector<std::unique_ptr<Watch>> watches;
+  watches.reserve(kinds.size());
   for (const std::string& kind : kinds)
     world_.store().Put(kind, "o", Json("first"));
   for (const std::string& kind : kinds) {
