--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -55,6 +55,7 @@
 }
 
 // The removals and gaps of earlier eras say nothing about the new one.
+// `is_listed`: a whole list of the new era is applied.
 void BeginEra(CachedKind& kind, const StorePosition& as_of, bool is_listed) {
   if (!is_listed)
     kind.unlisted_era = as_of.era();
