--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -59,8 +59,8 @@
                const StoreChange& list,
                const StorePosition& before,
                size_t changed) const;
-  // Handles a new era of the store, if the cache of `kind` has left `before` for
-  // one. Must be called before the changes of `kind` are applied.
+  // Handles a new era of the store, if the cache of `kind` has left `before`
+  // for one. Must be called before the changes of `kind` are applied.
   void OnNewEra(const std::string& kind,
                 const StorePosition& before,
                 const std::string& source);
