Continue lists of the store after plain names only

Callers saw: while an entry under an odd name (`&`, `+`, `#`, `%`, a blank) stood in a list of several pages and all hosts were restarted, hosts knew few endpoints or none and refused nearly all requests.

Cause: a list was continued after the last name on a page, whoever had chosen it. It was escaped, but the platform does not say how a name is to be written in a query. A store that does not decode escapes, refuses such a call, drops it, or splits the query after decoding it ends the list there for good.

Change: a list goes on after names of unreserved characters only, which every store reads alike: after the last one on the page, so that the odd names behind it come again. A page without any leads on to the first plain name behind it, and the object of that name is read by itself. The order of names is a guess there, so that such a list is partial: it removes nothing.

Evidence (x86_64): EntryNamesTest.ListsGoOnHoweverTheStoreReadsNames plays five stores, pages of one, two and five objects, and four sets of names, with two hosts each.

--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
+#include "routing/object_names.h"
+
 namespace sassafras {
 
 namespace {
@@ -25,6 +28,41 @@
   return page.as_of.is_known() ? std::min(newest, page.as_of) : newest;
 }
 
+// The last plain name on the page; empty if there is none.
+std::string LastPlainName(const ListPage& page) {
+  if (IsPlainName(page.last_name))
+    return page.last_name;
+  const auto it = std::find_if(
+      page.objects.rbegin(), page.objects.rend(),
+      [](const StoreObject& object) { return IsPlainName(object.name); });
+  return it == page.objects.rend() ? std::string() : it->name;
+}
+
+// Lets the list go on after `name`; false if that would lead in a circle.
+bool ContinueAfter(ListReading& list, const std::string& name) {
+  if (!list.continued_after.insert(name).second)
+    return false;
+  list.after = name;
+  return true;
+}
+
+// Lets the list go on after a page that is not its last one, and whose objects
+// have been added. What it has is `last_name` and `last_plain_name`.
+ListStep ContinueList(ListReading& list,
+                      const std::string& last_name,
+                      const std::string& last_plain_name) {
+  // Objects behind the last plain name come again with the next page.
+  if (!last_plain_name.empty() && ContinueAfter(list, last_plain_name))
+    return ListStep::kReadOn;
+  if (last_name.empty() || last_name == last_plain_name)
+    return ListStep::kPartial;
+  const auto next = NextPlainName(last_name);
+  if (!next || !ContinueAfter(list, *next))
+    return ListStep::kPartial;
+  ++list.skips;
+  return ListStep::kReadObjectAndOn;
+}
+
 }  // namespace
 
 ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness) {
@@ -40,18 +78,13 @@
   list.newest_as_of = std::max(list.newest_as_of, page.as_of);
   ++list.pages;
   list.failed_calls = 0;
+  const std::string last_plain_name = LastPlainName(page);
   list.objects.insert(list.objects.end(),
                       std::make_move_iterator(page.objects.begin()),
                       std::make_move_iterator(page.objects.end()));
   if (!page.has_more)
-    return ListStep::kWhole;
-  // The list would go round in a circle after a name that it has been
-  // continued from before.
-  if (page.last_name.empty() ||
-      !list.continued_after.insert(page.last_name).second)
-    return ListStep::kPartial;
-  list.after = std::move(page.last_name);
-  return ListStep::kReadOn;
+    return list.skips == 0 ? ListStep::kWhole : ListStep::kPartial;
+  return ContinueList(list, page.last_name, last_plain_name);
 }
 
 ListStep OnUnreadablePage(const ListReading& list) {
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -3,6 +3,12 @@
 // Handles lists that cannot be continued: a page that cannot be read, or one
 // whose names lead to no further page. What was read of such a list is used,
 // but it does not show that other objects are gone.
+//
+// A list goes on after plain names only (routing/object_names.h), since stores
+// may read other names differently. On a page that has none, everything between
+// its last name and the next possible plain name is skipped. Lists are taken to
+// be in the order of bytes for that, which no store states; so such a list does
+// not show either that other objects are gone.
 #ifndef ROUTING_LIST_READING_H_
 #define ROUTING_LIST_READING_H_
 
@@ -40,6 +46,7 @@
   StorePosition newest_as_of;  // Of the pages.
   size_t pages = 0;
   std::set<std::string> continued_after;
+  size_t skips = 0;      // Pages after which a range of names was skipped.
   int failed_calls = 0;  // For the next page.
 };
 
@@ -48,9 +55,12 @@
 inline constexpr int kMaxFailedPageCalls = 3;
 
 enum class ListStep {
-  kReadOn,   // The next page must be read.
+  kReadOn,  // The next page must be read.
+  // The object named `after` must be read, if it exists, and then the next
+  // page, which begins behind it.
+  kReadObjectAndOn,
   kWhole,    // The list is complete.
-  kPartial,  // The list cannot be read any further.
+  kPartial,  // The list has ended, but other objects may exist.
   kFailed,   // The next page must be tried again.
   kRestart,  // The store began a new era; the list must be read anew.
 };
@@ -58,8 +68,11 @@
 template <>
 struct NamesTable<ListStep> {
   static constexpr EnumName<ListStep> kNames[] = {
-      {ListStep::kReadOn, "read_on"},  {ListStep::kWhole, "whole"},
-      {ListStep::kPartial, "partial"}, {ListStep::kFailed, "failed"},
+      {ListStep::kReadOn, "read_on"},
+      {ListStep::kReadObjectAndOn, "read_object_and_on"},
+      {ListStep::kWhole, "whole"},
+      {ListStep::kPartial, "partial"},
+      {ListStep::kFailed, "failed"},
       {ListStep::kRestart, "restart"},
   };
 };
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -134,6 +134,37 @@
   }
 }
 
+// Incident 031. The platform's documentation does not say how a name is to be
+// written into a query.
+TEST_F(EntryNamesTest, ListsGoOnHoweverTheStoreReadsNames) {
+  constexpr int kHosts = 2;
+  const std::vector<std::vector<std::string>> cases = {
+      OddNames(), {"a&"}, {"i-2&"}, {"i-2\xc3\xa9"}};
+  AddEndpoints(4);
+  int version = 0;
+  for (const auto reading :
+       {StandinNameReading::kNotDecoded,
+        StandinNameReading::kDecodedBeforeSplit, StandinNameReading::kRefused,
+        StandinNameReading::kUnavailable, StandinNameReading::kUnanswered}) {
+    world_.store().set_name_reading(reading);
+    for (const size_t page_size : {1, 2, 5}) {
+      world_.store().set_page_size(page_size);
+      for (const std::vector<std::string>& names : cases) {
+        SCOPED_TRACE(static_cast<int>(reading));
+        SCOPED_TRACE(page_size);
+        SCOPED_TRACE(testing::PrintToString(names[0]));
+        PutAll(names, Json{{"service", 5}});
+        world_.PutConfig(++version);
+        StartHosts(kHosts);
+        for (int i = 1; i <= kHosts; ++i)
+          EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+        KillHosts(kHosts);
+        DeleteAll(names);
+      }
+    }
+  }
+}
+
 // Incident 031. With a name for each character, one at a time.
 TEST_F(EntryNamesTest, EachNameAloneDoesNotStopAHostThatStarts) {
   world_.store().set_page_size(2);
--- a/tests/routing/list_reading_test.cc
+++ b/tests/routing/list_reading_test.cc
@@ -58,6 +58,70 @@
             ListStep::kPartial);
 }
 
+// A page with these names that is not the last one.
+ListPage PageOf(const std::vector<std::string>& names) {
+  ListPage page;
+  for (const std::string& it : names)
+    page.objects.push_back({"k", it, 3, "{}"});
+  page.last_name = names.back();
+  page.has_more = true;
+  page.as_of = {0, 9};
+  return page;
+}
+
+ListPage LastPageOf(const std::vector<std::string>& names) {
+  ListPage page = PageOf(names);
+  page.has_more = false;
+  return page;
+}
+
+ListStep Add(ListReading& list, const ListPage& page) {
+  return OnPage(list, page, ListFreshness::kCurrent);
+}
+
+// Incident 031.
+TEST(ListReadingTest, ListGoesOnAfterTheLastPlainNameOfAPage) {
+  ListReading list;
+  EXPECT_EQ(Add(list, PageOf({"i-1", "i-2", "i-2&", "i-2 x"})),
+            ListStep::kReadOn);
+  EXPECT_EQ(list.after, "i-2");
+  EXPECT_EQ(Add(list, LastPageOf({"i-2&", "i-2 x", "i-3", "z%"})),
+            ListStep::kWhole);
+}
+
+// Incident 031.
+TEST(ListReadingTest, ListSkipsToTheNextPlainNameBehindAPageWithoutAny) {
+  ListReading list;
+  EXPECT_EQ(Add(list, PageOf({"a b", "i-1/2"})), ListStep::kReadObjectAndOn);
+  EXPECT_EQ(list.after, "i-10");
+  EXPECT_EQ(Add(list, PageOf({"i-11", "i-2"})), ListStep::kReadOn);
+  // What it skipped may hold objects if the names are in another order.
+  EXPECT_EQ(Add(list, LastPageOf({"i-3"})), ListStep::kPartial);
+  EXPECT_EQ(list.objects.size(), 5U);
+}
+
+// Incident 031.
+TEST(ListReadingTest, PageFullOfOtherNamesBehindAPlainOneIsSkipped) {
+  ListReading list;
+  EXPECT_EQ(Add(list, PageOf({"i-1", "i-1&"})), ListStep::kReadOn);
+  EXPECT_EQ(Add(list, PageOf({"i-1&", "i-1+"})), ListStep::kReadObjectAndOn);
+  EXPECT_EQ(list.after, "i-1-");
+}
+
+// Incident 031.
+TEST(ListReadingTest, ListEndsIfNoPlainNameCanFollow) {
+  ListReading list;
+  EXPECT_EQ(Add(list, PageOf({"~~", "~~\xc3\xa9"})), ListStep::kReadOn);
+  EXPECT_EQ(Add(list, PageOf({"~~\xc3\xa9", "\xff"})), ListStep::kPartial);
+}
+
+// Incident 031. As in a store whose names are in another order.
+TEST(ListReadingTest, SkipThatLeadsBackEndsTheList) {
+  ListReading list;
+  EXPECT_EQ(Add(list, PageOf({"i-1&"})), ListStep::kReadObjectAndOn);
+  EXPECT_EQ(Add(list, PageOf({"i-1&"})), ListStep::kPartial);
+}
+
 TEST(ListReadingTest, UnreadablePageEndsAListThatHasBegun) {
   ListReading list;
   EXPECT_EQ(OnUnreadablePage(list), ListStep::kFailed);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -59,6 +59,14 @@
   return out + "\r\n";
 }
 
+// Whether `text` consists of the unreserved characters of RFC 3986.
+bool IsUnreserved(const std::string& text) {
+  return text.find_first_not_of(
+             "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+             "abcdefghijklmnopqrstuvwxyz"
+             "0123456789-._~") == std::string::npos;
+}
+
 bool IsUtf8(const std::string& text) {
   try {
     Json(text).dump();
@@ -224,12 +232,19 @@
   }
   const std::string prefix = "/objects/";
   std::string kind = session->path().substr(prefix.size());
-  kind = kind.substr(0, kind.find('/'));
+  std::string name;
+  const size_t slash = kind.find('/');
+  if (slash != std::string::npos) {
+    name = kind.substr(slash + 1);
+    kind.resize(slash);
+  }
   if (session->method() != "GET")
     AnswerWrite(session, kind);
   else if (session->Argument("watch"))
     AnswerWatch(session, kind);
-  else
+  else if (!name.empty())
+    AnswerObject(session, kind, name);
+  else if (!RefuseName(session))
     AnswerList(session, kind);
 }
 
@@ -249,6 +264,42 @@
   });
 }
 
+void PlatformStandinStore::AnswerObject(const Session& session,
+                                        const std::string& kind,
+                                        const std::string& name) {
+  const auto it = kinds_[kind].find(name);
+  if (it == kinds_[kind].end())
+    session->Respond(kHttpNotFound, Fields(), "{}");
+  else
+    session->Respond(kHttpOk, Fields(), Dump(ObjectJson(name, it->second)));
+}
+
+bool PlatformStandinStore::RefuseName(const Session& session) {
+  if (IsUnreserved(session->Argument("after").value_or("")))
+    return false;
+  if (name_reading_ == StandinNameReading::kRefused)
+    session->Respond(kHttpBadRequest, Fields(), "");
+  else if (name_reading_ == StandinNameReading::kUnavailable)
+    session->Respond(kHttpServiceUnavailable, Fields(), "");
+  else if (name_reading_ == StandinNameReading::kUnanswered)
+    unanswered_.push_back(session);
+  else
+    return false;
+  return true;
+}
+
+std::string PlatformStandinStore::NameAfter(const Session& session) const {
+  std::string after = session->Argument("after").value_or("");
+  if (name_reading_ == StandinNameReading::kDecodedBeforeSplit)
+    return after.substr(0, after.find('&'));
+  if (name_reading_ != StandinNameReading::kNotDecoded || after.empty())
+    return after;
+  const std::string argument = "after=";
+  const std::string& target = session->target();
+  after = target.substr(target.find(argument) + argument.size());
+  return after.substr(0, after.find('&'));
+}
+
 void PlatformStandinStore::AnswerList(const Session& session,
                                       const std::string& kind) {
   if (later_pages_fail_ && session->Argument("after")) {
@@ -258,7 +309,7 @@
   Json items = Json::array();
   const bool is_stale = stale_ && session->Argument("stale-ok") == "1";
   const auto& objects = is_stale ? stale_->kinds[kind] : kinds_[kind];
-  auto it = objects.upper_bound(session->Argument("after").value_or(""));
+  auto it = objects.upper_bound(NameAfter(session));
   for (; it != objects.end() && items.size() < page_size_; ++it)
     items.push_back(ObjectJson(it->first, it->second));
   const uint64_t as_of =
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -26,6 +26,17 @@
 
 namespace sassafras {
 
+// How a store reads the name in a query after which a list goes on. Names of
+// unreserved characters (RFC 3986) are read alike by all.
+enum class StandinNameReading {
+  kDecoded,             // As RFC 3986 and forms say.
+  kNotDecoded,          // Escapes stay in the name.
+  kDecodedBeforeSplit,  // The query is decoded, and then split at "&".
+  kRefused,             // Other names are answered 400,
+  kUnavailable,         // 503,
+  kUnanswered,          // or not at all.
+};
+
 // In-memory stand-in for the platform's store, with lists in pages and watches
 // by long polling.
 class PlatformStandinStore {
@@ -55,6 +66,7 @@
   void DropHistory();
   // Lists are returned in pages of at most `n` objects.
   void set_page_size(size_t n) { page_size_ = n; }
+  void set_name_reading(StandinNameReading reading) { name_reading_ = reading; }
   // While set, calls for pages after the first one are answered 503.
   void set_later_pages_fail(bool on) { later_pages_fail_ = on; }
   // Lists that may be stale show the state at the first of these calls, until
@@ -112,6 +124,14 @@
   void AnswerWrite(const Session& session, const std::string& kind);
   void AnswerWatch(const Session& session, const std::string& kind);
   void AnswerList(const Session& session, const std::string& kind);
+  void AnswerObject(const Session& session,
+                    const std::string& kind,
+                    const std::string& name);
+  // Answers calls for a name that the store does not read; returns false for
+  // other calls.
+  bool RefuseName(const Session& session);
+  // The name after which the page begins, as the store reads it.
+  std::string NameAfter(const Session& session) const;
   void PublishEvent(const std::string& kind,
                     const std::string& name,
                     bool deleted);
@@ -138,6 +158,8 @@
   Snapshot lost_;              // The state before it was replaced by the copy.
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
+  StandinNameReading name_reading_ = StandinNameReading::kDecoded;
+  std::vector<Session> unanswered_;
   std::optional<Snapshot> stale_;  // What lists that may be stale show.
   bool stale_names_present_revision_ = false;
   size_t page_size_ = 500;
