Send no requests to records under the names `.` and `..`

Cause: both consist of unreserved characters and counted as ids of endpoints. They are dot segments (RFC 3986), which cannot stand in a path, so that no endpoint can have registered itself under them.

--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -372,6 +372,8 @@
     for (const std::string& it : {std::string("i-1") + c, "a" + std::string(c)})
       world_.store().Put("servers", it, foreign.Record("rondas", "cuyo-a"));
   }
+  for (const char* it : {".", ".."})
+    world_.store().Put("servers", it, foreign.Record("rondas", "cuyo-a"));
   world_.PutConfig(1);
   StartHosts(1);
   WaitUntilHostsAreKnown();
