Take a list that skipped names as whole once its gaps are checked

Callers would have seen: requests to an endpoint whose record was removed while a host's watch had lost its history, as long as a page of odd names stood in the list.

Change: it is whole if its names ascend byte by byte, and if each cached object that it lacks is gone by a call of its own. One that still exists and is not newer than the list shows that a skip has passed over objects; then the list stays partial and removes nothing. The cached names reach the store client through Store::set_known_names().

Evidence (x86_64): RemovalsHoldIfListsSkipNames failed on both hosts before and holds now.

--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -79,6 +79,8 @@
                         }));
   store_->set_on_reachable(
       [this](bool reachable) { OnStoreReachable(reachable); });
+  store_->set_known_names(
+      [this](const std::string& kind) { return NamesOf(table_, kind); });
   tick_ = state_.loop.Every(kTickPeriod, [this] { OnTick(); });
   ReadFirstLists();
   ReadHosts();
--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -46,8 +46,46 @@
   return true;
 }
 
-// Lets the list go on after a page that is not its last one, and whose objects
-// have been added. What it has is `last_name` and `last_plain_name`.
+// Whether the names on the page that follows `after` ascend byte by byte.
+bool IsInByteOrder(const std::string& after, const ListPage& page) {
+  const std::string* previous = &after;
+  for (const StoreObject& it : page.objects) {
+    if (it.name <= *previous)
+      return false;
+    previous = &it.name;
+  }
+  return true;
+}
+
+// Reads the next of the known objects that the list lacks.
+ListStep ReadNextMissing(ListReading& list) {
+  if (list.may_lack_objects)
+    return ListStep::kPartial;
+  if (list.known_names.empty())
+    return ListStep::kWhole;
+  list.next_object = list.known_names.extract(list.known_names.begin()).value();
+  return ListStep::kReadObject;
+}
+
+// All pages that can hold plain names have been read.
+ListStep EndList(ListReading& list) {
+  list.has_ended = true;
+  if (list.skips == 0)
+    return ListStep::kWhole;
+  for (const StoreObject& it : list.objects)
+    list.known_names.erase(it.name);
+  // No call can name the others.
+  for (auto it = list.known_names.begin(); it != list.known_names.end();)
+    it = IsPlainName(*it) ? std::next(it) : list.known_names.erase(it);
+  // A page that may be stale and shows no object has no position.
+  if (!list.is_in_byte_order || !list.as_of.is_known() ||
+      list.known_names.size() > kMaxMissingObjectsRead)
+    list.may_lack_objects = true;
+  return ReadNextMissing(list);
+}
+
+// Lets the list go on after a page that is not its last one, and that ends with
+// `last_name`.
 ListStep ContinueList(ListReading& list,
                       const std::string& last_name,
                       const std::string& last_plain_name) {
@@ -56,11 +94,15 @@
     return ListStep::kReadOn;
   if (last_name.empty() || last_name == last_plain_name)
     return ListStep::kPartial;
+  ++list.skips;
   const auto next = NextPlainName(last_name);
-  if (!next || !ContinueAfter(list, *next))
+  if (!next)
+    return EndList(list);
+  if (!ContinueAfter(list, *next))
     return ListStep::kPartial;
-  ++list.skips;
-  return ListStep::kReadObjectAndOn;
+  // The next page begins behind this name.
+  list.next_object = list.after;
+  return ListStep::kReadObject;
 }
 
 }  // namespace
@@ -78,15 +120,33 @@
   list.newest_as_of = std::max(list.newest_as_of, page.as_of);
   ++list.pages;
   list.failed_calls = 0;
+  if (!IsInByteOrder(list.after, page))
+    list.is_in_byte_order = false;
   const std::string last_plain_name = LastPlainName(page);
   list.objects.insert(list.objects.end(),
                       std::make_move_iterator(page.objects.begin()),
                       std::make_move_iterator(page.objects.end()));
   if (!page.has_more)
-    return list.skips == 0 ? ListStep::kWhole : ListStep::kPartial;
+    return EndList(list);
   return ContinueList(list, page.last_name, last_plain_name);
 }
 
+ListStep OnObject(ListReading& list, const StoreReply& reply) {
+  const bool is_found = reply.status == StoreStatus::kOk &&
+                        !reply.objects.empty() &&
+                        reply.objects[0].name == list.next_object;
+  if (is_found)
+    list.objects.push_back(reply.objects[0]);
+  else if (reply.status != StoreStatus::kNotFound)
+    list.may_lack_objects = true;
+  if (!list.has_ended)
+    return ListStep::kReadOn;
+  // A skip has led past an object that is not newer than the list.
+  if (is_found && reply.objects[0].revision <= list.as_of.revision())
+    list.may_lack_objects = true;
+  return ReadNextMissing(list);
+}
+
 ListStep OnUnreadablePage(const ListReading& list) {
   return list.pages == 0 ? ListStep::kFailed : ListStep::kPartial;
 }
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -5,10 +5,11 @@
 // but it does not show that other objects are gone.
 //
 // A list goes on after plain names only (routing/object_names.h), since stores
-// may read other names differently. On a page that has none, everything between
-// its last name and the next possible plain name is skipped. Lists are taken to
-// be in the order of bytes for that, which no store states; so such a list does
-// not show either that other objects are gone.
+// may read other names differently. After a page without plain names, all names
+// up to the next possible plain one are skipped. That passes over no plain name
+// if the list is in the order of bytes, but the order is unspecified. So such a
+// list is whole only if its names are in that order, and if the known objects
+// that it lacks are found to be gone.
 #ifndef ROUTING_LIST_READING_H_
 #define ROUTING_LIST_READING_H_
 
@@ -46,19 +47,30 @@
   StorePosition newest_as_of;  // Of the pages.
   size_t pages = 0;
   std::set<std::string> continued_after;
-  size_t skips = 0;      // Pages after which a range of names was skipped.
   int failed_calls = 0;  // For the next page.
+  size_t skips = 0;      // Pages after which names were skipped.
+  bool is_in_byte_order = true;
+  bool has_ended = false;  // No further page is to be read.
+  // Objects other than those that were read may exist.
+  bool may_lack_objects = false;
+  std::string next_object;  // For ListStep::kReadObject.
+  // Of the objects that were known before the list was begun. Once it has
+  // ended, only of those that it lacks and that must still be read.
+  std::set<std::string> known_names;
 };
 
 // Calls for a page after the first one that may fail before the list is taken
 // as one that cannot go on.
 inline constexpr int kMaxFailedPageCalls = 3;
+// A list that lacks more of the known objects is taken as partial, without a
+// call for each of them.
+inline constexpr size_t kMaxMissingObjectsRead = 100;
 
 enum class ListStep {
   kReadOn,  // The next page must be read.
-  // The object named `after` must be read, if it exists, and then the next
-  // page, which begins behind it.
-  kReadObjectAndOn,
+  // The object named `next_object` must be read, in its current state; then
+  // OnObject() must be called.
+  kReadObject,
   kWhole,    // The list is complete.
   kPartial,  // The list has ended, but other objects may exist.
   kFailed,   // The next page must be tried again.
@@ -68,17 +80,16 @@
 template <>
 struct NamesTable<ListStep> {
   static constexpr EnumName<ListStep> kNames[] = {
-      {ListStep::kReadOn, "read_on"},
-      {ListStep::kReadObjectAndOn, "read_object_and_on"},
-      {ListStep::kWhole, "whole"},
-      {ListStep::kPartial, "partial"},
-      {ListStep::kFailed, "failed"},
-      {ListStep::kRestart, "restart"},
+      {ListStep::kReadOn, "read_on"}, {ListStep::kReadObject, "read_object"},
+      {ListStep::kWhole, "whole"},    {ListStep::kPartial, "partial"},
+      {ListStep::kFailed, "failed"},  {ListStep::kRestart, "restart"},
   };
 };
 
 // Adds the next page.
 ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness);
+// The call for `next_object` has ended.
+ListStep OnObject(ListReading& list, const StoreReply& reply);
 // The store has answered the call for the next page, but not with a page that
 // can be read.
 ListStep OnUnreadablePage(const ListReading& list);
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace sassafras {
@@ -230,6 +229,17 @@
       });
 }
 
+std::set<std::string> NamesOf(const StoreCache& cache,
+                              const std::string& kind) {
+  std::set<std::string> names;
+  const auto known = cache.kinds.find(kind);
+  if (known == cache.kinds.end())
+    return names;
+  for (const auto& [name, it] : known->second.objects)
+    names.insert(name);
+  return names;
+}
+
 CacheFollow PositionsOf(const StoreCache& cache) {
   CacheFollow out;
   for (const auto& [name, kind] : cache.kinds)
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +67,9 @@
 // Whether every kind has been listed, as far as its list could be read.
 bool IsComplete(const StoreCache& cache);
 
+// The names of the cached objects of a kind.
+std::set<std::string> NamesOf(const StoreCache& cache, const std::string& kind);
+
 // Returns the cached position of each kind, to request later changes from a
 // relay.
 CacheFollow PositionsOf(const StoreCache& cache);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -44,6 +45,14 @@
     on_reachable_ = std::move(fn);
   }
 
+  // `fn` returns the names of the objects of a kind that this process knows. A
+  // list that was continued past some names is whole only if those of them that
+  // it lacks do not exist.
+  void set_known_names(
+      std::function<std::set<std::string>(const std::string& kind)> fn) {
+    known_names_ = std::move(fn);
+  }
+
   bool is_reachable() const { return is_reachable_; }
 
  protected:
@@ -57,9 +66,14 @@
       on_reachable_(reachable);
   }
 
+  std::set<std::string> KnownNames(const std::string& kind) const {
+    return known_names_ ? known_names_(kind) : std::set<std::string>();
+  }
+
  private:
   bool is_reachable_ = true;
   std::function<void(bool)> on_reachable_;
+  std::function<std::set<std::string>(const std::string&)> known_names_;
 };
 
 // Creates a client of the store at `address`. `timeout` applies to each call
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -165,6 +165,51 @@
   }
 }
 
+// Incident 031.
+TEST_F(EntryNamesTest, RemovalsHoldIfListsSkipNames) {
+  constexpr int kHosts = 2;
+  world_.store().set_page_size(1);
+  world_.store().Put("servers", "a&", Json{{"service", 5}});
+  AddEndpoints(4);
+  world_.PutConfig(1);
+  StartHosts(kHosts);
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+  world_.store().Delete("servers", "i-1");
+  Wait(kApplyTime);
+  const int before = endpoints_[0]->arrivals();
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_EQ(CountReached(i), 3U);
+  EXPECT_EQ(endpoints_[0]->arrivals(), before);
+  // Only a new list shows this removal.
+  world_.store().DropWatchEvents();
+  world_.store().Delete("servers", "i-2");
+  world_.store().DropHistory();
+  Wait(kApplyTime * 2);
+  const int before_list = endpoints_[1]->arrivals();
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_EQ(CountReached(i), 2U);
+  EXPECT_EQ(endpoints_[1]->arrivals(), before_list);
+}
+
+// Incident 031. To such a store, the name to which lists skip is unknown.
+TEST_F(EntryNamesTest, ListThatEndsTooEarlyRemovesNothing) {
+  constexpr int kHosts = 2;
+  world_.store().set_page_size(1);
+  AddEndpoints(4);
+  world_.PutConfig(1);
+  StartHosts(kHosts);
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+  world_.store().set_name_reading(StandinNameReading::kEndsAfterUnknown);
+  world_.store().DropWatchEvents();
+  world_.store().Put("servers", "a&", Json{{"service", 5}});
+  world_.store().DropHistory();
+  Wait(kApplyTime * 2);
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_EQ(CountReached(i), endpoints_.size());
+}
+
 // Incident 031. With a name for each character, one at a time.
 TEST_F(EntryNamesTest, EachNameAloneDoesNotStopAHostThatStarts) {
   world_.store().set_page_size(2);
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -35,6 +35,7 @@
   kRefused,             // Other names are answered 400,
   kUnavailable,         // 503,
   kUnanswered,          // or not at all.
+  kEndsAfterUnknown,    // Nothing follows a name that no object has.
 };
 
 // In-memory stand-in for the platform's store, with lists in pages and watches
