--- a/tests/routing/list_reading_test.cc
+++ b/tests/routing/list_reading_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace sassafras {
 namespace {
 
@@ -115,7 +120,7 @@
   EXPECT_EQ(list.objects.size(), 6U);
 }
 
-// A list with these known names that has skipped some, up to its last page.
+// A list with these known names that has skipped names, before its last page.
 ListReading SkippingList(std::set<std::string> known_names) {
   ListReading list;
   list.known_names = std::move(known_names);
@@ -131,7 +136,7 @@
   EXPECT_EQ(list.next_object, "i-3");
   EXPECT_EQ(OnObject(list, Gone()), ListStep::kReadObject);
   EXPECT_EQ(list.next_object, "i-4");
-  // It was created after the list was read.
+  // This one was created after the list was read.
   EXPECT_EQ(OnObject(list, Found("i-4", 10)), ListStep::kWhole);
   EXPECT_EQ(list.objects.size(), 4U);
 }
--- a/tests/routing/object_names_test.cc
+++ b/tests/routing/object_names_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <vector>
+
 namespace sassafras {
 namespace {
 
