Soak: count an endpoint's leaving from the answer that says so

Cause: the check took every answer after the leaving for one that says so. A crash of the stand-in ends what it says.

Change: the stand-in records which answers said it, and the check counts from those. It is stricter for requests that began before the leaving and whose answers said so.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -809,8 +809,8 @@
   std::map<int, Time> passed_on;
   for (const auto& run : endpoint.standin->runs()) {
     const auto it = requests.find(run.request_id);
-    if (it == requests.end() || run.begun < endpoint.left ||
-        it->second->status != kHttpOk)
+    if (it == requests.end() || it->second->status != kHttpOk ||
+        !endpoint.standin->HasSaidLeaving(run.request_id))
       continue;
     const auto [first, is_new] =
         passed_on.emplace(it->second->host, it->second->done);
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -611,6 +611,8 @@
 void PlatformStandinEndpoint::SendAnswer(
     const std::shared_ptr<Connection>& connection,
     const std::string& id) {
+  if (is_leaving_)
+    said_leaving_.insert(id);
   Stream& stream = *connection->stream;
   std::string body = "answer to " + id;
   body.resize(std::max(body.size(), answer_bytes_), '.');
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -263,6 +263,10 @@
   void set_behavior(StandinBehavior behavior) { behavior_ = behavior; }
   // Says in all answers that it is leaving. A crash ends that.
   void set_leaving(bool leaving) { is_leaving_ = leaving; }
+  // Whether the answer to this request said so.
+  bool HasSaidLeaving(const std::string& request_id) const {
+    return said_leaving_.count(request_id) > 0;
+  }
   // Says so in the trailer of its answers of kAnswer rather than in the head.
   void set_uses_trailer(bool on) { uses_trailer_ = on; }
   // Value of Retry-After in refusals of kShed; empty: none.
@@ -347,6 +351,7 @@
   int crashes_ = 0;
   StandinCrash crash_ = StandinCrash::kClosesConnections;
   bool is_leaving_ = false;
+  std::set<std::string> said_leaving_;  // Requests whose answers said so.
   bool uses_trailer_ = false;
   std::string retry_after_;
   size_t max_running_ = 0;
