--- a/src/routing/object_names.cc
+++ b/src/routing/object_names.cc
@@ -15,7 +15,7 @@
   return kUnreserved.find(c) != std::string_view::npos;
 }
 
-// Both are bytes without a sign, also where `char` has one.
+// Compares unsigned bytes: whether `char` is signed depends on the processor.
 bool IsLess(char a, char b) {
   return static_cast<unsigned char>(a) < static_cast<unsigned char>(b);
 }
@@ -54,7 +54,7 @@
   if (!later)
     return std::nullopt;
   next += *later;
-  // A dot segment has no names before its first extension.
+  // Behind a dot segment, the first plain name has one more character.
   if (!IsPlainName(next))
     next += kUnreserved.front();
   return next;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -45,9 +45,9 @@
     on_reachable_ = std::move(fn);
   }
 
-  // `fn` returns the names of the objects of a kind that this process knows. A
-  // list that was continued past some names is whole only if those of them that
-  // it lacks do not exist.
+  // `fn` returns the names of the objects of a kind that this process has
+  // cached. If reading a list had to skip names, the cached objects that it
+  // lacks are read one by one, to tell whether the list is whole.
   void set_known_names(
       std::function<std::set<std::string>(const std::string& kind)> fn) {
     known_names_ = std::move(fn);
