Stand-in of the store: vary what is left open about lists

The platform says that a list goes on "after a name". It does not say whether an object must have the name, how names are ordered, or whether any name but the last one of a page will do.

It varies them now, beside how a name is decoded: names that no object has go on, are refused, unavailable, unanswered, end the list or begin it again; six orders; pages by objects and by bytes. It can also limit reads per second.

--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -124,7 +125,11 @@
                                const Json& specification) {
   if (!IsUtf8(name) && raw_names_.count(name) == 0)
     raw_names_[name] = AddRawText('"' + name + '"');
-  kinds_[kind][name] = {++revision_, specification};
+  Object& object = kinds_[kind][name];
+  object.revision = ++revision_;
+  object.specification = specification;
+  if (object.created == 0)
+    object.created = revision_;
   PublishEvent(kind, name, false);
 }
 
@@ -224,8 +229,25 @@
   }
 }
 
+bool PlatformStandinStore::ExceedsRate(const Session& session) {
+  if (max_reads_per_second_ == 0 || session->method() != "GET" ||
+      session->Argument("stale-ok") == "1")
+    return false;
+  const Time now = loop_.Now();
+  while (!reads_.empty() && now - reads_.front() >= std::chrono::seconds(1))
+    reads_.pop_front();
+  if (reads_.size() >= max_reads_per_second_)
+    return true;
+  reads_.push_back(now);
+  return false;
+}
+
 void PlatformStandinStore::Answer(const Session& session) {
   ++calls_;
+  if (ExceedsRate(session)) {
+    session->Respond(kHttpTooManyRequests, Fields(), "");
+    return;
+  }
   if (down_) {
     session->Respond(down_status_, Fields(), "");
     return;
@@ -244,7 +266,7 @@
     AnswerWatch(session, kind);
   else if (!name.empty())
     AnswerObject(session, kind, name);
-  else if (!RefuseName(session))
+  else if (!RefuseName(session, kind))
     AnswerList(session, kind);
 }
 
@@ -274,25 +296,92 @@
     session->Respond(kHttpOk, Fields(), Dump(ObjectJson(name, it->second)));
 }
 
-bool PlatformStandinStore::RefuseName(const Session& session) {
-  if (IsUnreserved(session->Argument("after").value_or("")))
-    return false;
-  if (name_reading_ == StandinNameReading::kRefused)
-    session->Respond(kHttpBadRequest, Fields(), "");
-  else if (name_reading_ == StandinNameReading::kUnavailable)
-    session->Respond(kHttpServiceUnavailable, Fields(), "");
-  else if (name_reading_ == StandinNameReading::kUnanswered)
+void PlatformStandinStore::set_list_rules(const StandinListRules& rules) {
+  list_rules_ = rules;
+  page_ends_.clear();
+}
+
+void PlatformStandinStore::Refuse(const Session& session,
+                                  StandinUnknownName how) {
+  if (how == StandinUnknownName::kUnanswered)
     unanswered_.push_back(session);
+  else if (how == StandinUnknownName::kUnavailable)
+    session->Respond(kHttpServiceUnavailable, Fields(), "");
   else
+    session->Respond(kHttpBadRequest, Fields(), "");
+}
+
+bool PlatformStandinStore::RefuseName(const Session& session,
+                                      const std::string& kind) {
+  const std::string after = session->Argument("after").value_or("");
+  if (after.empty())
     return false;
+  const StandinNameReading reading = list_rules_.name_reading;
+  if (!IsUnreserved(after) && (reading == StandinNameReading::kRefused ||
+                               reading == StandinNameReading::kUnavailable ||
+                               reading == StandinNameReading::kUnanswered)) {
+    Refuse(session, reading == StandinNameReading::kRefused
+                        ? StandinUnknownName::kRefused
+                    : reading == StandinNameReading::kUnavailable
+                        ? StandinUnknownName::kUnavailable
+                        : StandinUnknownName::kUnanswered);
+    return true;
+  }
+  const std::string name = NameAfter(session);
+  const StandinUnknownName unknown = list_rules_.unknown_name;
+  if (kinds_[kind].count(name) == 0 &&
+      (unknown == StandinUnknownName::kRefused ||
+       unknown == StandinUnknownName::kUnavailable ||
+       unknown == StandinUnknownName::kUnanswered)) {
+    Refuse(session, unknown);
+    return true;
+  }
+  if (!list_rules_.continues_only_after_pages ||
+      page_ends_.count(kind + "/" + name) > 0)
+    return false;
+  Refuse(session, StandinUnknownName::kRefused);
   return true;
 }
 
+std::string PlatformStandinStore::SortKey(const Objects& objects,
+                                          const std::string& name) const {
+  std::string key;
+  switch (list_rules_.order) {
+    case StandinOrder::kByBytes:
+      break;
+    case StandinOrder::kDescending:
+      for (const char c : name)
+        key += static_cast<char>(~c);
+      return key + '\xff';
+    case StandinOrder::kIgnoringCase:
+      for (const char c : name)
+        key += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+      break;
+    case StandinOrder::kIgnoringPunctuation:
+      for (const char c : name) {
+        if (std::isalnum(static_cast<unsigned char>(c)) != 0)
+          key += c;
+      }
+      break;
+    case StandinOrder::kByHash:
+      key = std::to_string(std::hash<std::string>()(name));
+      break;
+    case StandinOrder::kByCreation: {
+      const auto it = objects.find(name);
+      std::ostringstream os;
+      os << std::setw(20) << (it == objects.end() ? 0 : it->second.created);
+      return os.str();
+    }
+  }
+  return key + '\0' + name;
+}
+
 std::string PlatformStandinStore::NameAfter(const Session& session) const {
   std::string after = session->Argument("after").value_or("");
-  if (name_reading_ == StandinNameReading::kDecodedBeforeSplit)
+  if (list_rules_.name_reading == StandinNameReading::kDecodedBeforeSplit)
     return after.substr(0, after.find('&'));
-  if (name_reading_ != StandinNameReading::kNotDecoded || after.empty())
+  if (list_rules_.name_reading != StandinNameReading::kNotDecoded ||
+      after.empty())
     return after;
   const std::string argument = "after=";
   const std::string& target = session->target();
@@ -306,16 +395,35 @@
     session->Respond(kHttpServiceUnavailable, Fields(), "");
     return;
   }
-  Json items = Json::array();
   const bool is_stale = stale_ && session->Argument("stale-ok") == "1";
-  const auto& objects = is_stale ? stale_->kinds[kind] : kinds_[kind];
+  const Objects& objects = is_stale ? stale_->kinds[kind] : kinds_[kind];
+  std::map<std::string, Objects::const_iterator> ordered;
+  for (auto it = objects.begin(); it != objects.end(); ++it)
+    ordered[SortKey(objects, it->first)] = it;
   const std::string after = NameAfter(session);
-  auto it = objects.upper_bound(after);
-  if (name_reading_ == StandinNameReading::kEndsAfterUnknown &&
-      !after.empty() && objects.count(after) == 0)
-    it = objects.end();
-  for (; it != objects.end() && items.size() < page_size_; ++it)
-    items.push_back(ObjectJson(it->first, it->second));
+  const bool is_unknown = !after.empty() && objects.count(after) == 0;
+  auto next = ordered.begin();
+  if (is_unknown &&
+      (list_rules_.unknown_name == StandinUnknownName::kEndsList ||
+       list_rules_.name_reading == StandinNameReading::kEndsAfterUnknown))
+    next = ordered.end();
+  else if (!after.empty() &&
+           !(is_unknown &&
+             list_rules_.unknown_name == StandinUnknownName::kRestartsList))
+    next = ordered.upper_bound(SortKey(objects, after));
+  Json items = Json::array();
+  size_t bytes = 0;
+  for (; next != ordered.end() && items.size() < list_rules_.page_size;
+       ++next) {
+    Json item = ObjectJson(next->second->first, next->second->second);
+    bytes += Dump(item).size();
+    if (!items.empty() && bytes > list_rules_.page_bytes)
+      break;
+    items.push_back(std::move(item));
+  }
+  const bool has_more = next != ordered.end();
+  if (!items.empty())
+    page_ends_.insert(kind + "/" + std::prev(next)->second->first);
   const uint64_t as_of =
       is_stale && !stale_names_present_revision_ ? stale_->revision : revision_;
   HttpHeaders fields = Fields();
@@ -323,8 +431,8 @@
     fields = {{"Store-Era", std::to_string(stale_->era)}};
   session->Respond(kHttpOk, fields,
                    R"({"items":)" + Dump(items) + R"(,"has-more":)" +
-                       (it != objects.end() ? "true" : "false") +
-                       R"(,"as-of":)" + std::to_string(as_of) + "}");
+                       (has_more ? "true" : "false") + R"(,"as-of":)" +
+                       std::to_string(as_of) + "}");
 }
 
 bool PlatformStandinStore::TryAnswerWatch(PendingWatch& watch) {
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -38,6 +38,38 @@
   kEndsAfterUnknown,    // Nothing follows a name that no object has.
 };
 
+// What a store does with a name after which a list shall go on, if no object
+// has it.
+enum class StandinUnknownName {
+  kAccepted,      // Goes on where such an object would stand.
+  kRefused,       // Answers 400,
+  kUnavailable,   // 503,
+  kUnanswered,    // or not at all.
+  kEndsList,      // Answers an empty last page.
+  kRestartsList,  // Answers the first page.
+};
+
+// Order of the objects in lists.
+enum class StandinOrder {
+  kByBytes,
+  kDescending,
+  kIgnoringCase,
+  kIgnoringPunctuation,  // As some collations do; by bytes for equal names.
+  kByHash,
+  kByCreation,  // An unknown name stands before all objects.
+};
+
+// What the platform's documentation leaves open about lists.
+struct StandinListRules {
+  StandinNameReading name_reading = StandinNameReading::kDecoded;
+  StandinUnknownName unknown_name = StandinUnknownName::kAccepted;
+  StandinOrder order = StandinOrder::kByBytes;
+  // A list goes on only after the last name of a page; others are answered 400.
+  bool continues_only_after_pages = false;
+  size_t page_size = 500;       // In objects.
+  size_t page_bytes = 1 << 20;  // A page has one object at least.
+};
+
 // In-memory stand-in for the platform's store, with lists in pages and watches
 // by long polling.
 class PlatformStandinStore {
@@ -66,8 +98,13 @@
   // revision is answered 410 (Gone).
   void DropHistory();
   // Lists are returned in pages of at most `n` objects.
-  void set_page_size(size_t n) { page_size_ = n; }
-  void set_name_reading(StandinNameReading reading) { name_reading_ = reading; }
+  void set_page_size(size_t n) { list_rules_.page_size = n; }
+  void set_name_reading(StandinNameReading reading) {
+    list_rules_.name_reading = reading;
+  }
+  void set_list_rules(const StandinListRules& rules);
+  // Reads beyond these are answered 429, but not those that may be stale.
+  void set_max_reads_per_second(size_t n) { max_reads_per_second_ = n; }
   // While set, calls for pages after the first one are answered 503.
   void set_later_pages_fail(bool on) { later_pages_fail_ = on; }
   // Lists that may be stale show the state at the first of these calls, until
@@ -101,7 +138,9 @@
   struct Object {
     uint64_t revision = 0;
     nlohmann::json specification;
+    uint64_t created = 0;  // Revision.
   };
+  using Objects = std::map<std::string, Object>;
   struct Snapshot {
     std::map<std::string, std::map<std::string, Object>> kinds;
     uint64_t revision = 0;
@@ -128,9 +167,13 @@
   void AnswerObject(const Session& session,
                     const std::string& kind,
                     const std::string& name);
-  // Answers calls for a name that the store does not read; returns false for
-  // other calls.
-  bool RefuseName(const Session& session);
+  // Answers calls for a name after which the store does not go on; returns
+  // false for other calls.
+  bool RefuseName(const Session& session, const std::string& kind);
+  // As an answer of RefuseName().
+  void Refuse(const Session& session, StandinUnknownName how);
+  // Where objects stand in lists.
+  std::string SortKey(const Objects& objects, const std::string& name) const;
   // The name after which the page begins, as the store reads it.
   std::string NameAfter(const Session& session) const;
   void PublishEvent(const std::string& kind,
@@ -139,6 +182,8 @@
   std::string Dump(const nlohmann::json& body) const;
   // Those of all answers.
   HttpHeaders Fields() const;
+  // Whether this call is one more than the store allows in a second.
+  bool ExceedsRate(const Session& session);
   bool TryAnswerWatch(PendingWatch& watch);
   std::string AddRawText(const std::string& text);
   nlohmann::json ObjectJson(const std::string& name,
@@ -159,11 +204,13 @@
   Snapshot lost_;              // The state before it was replaced by the copy.
   uint64_t history_from_ = 0;  // First revision in the history; 0: all are.
   std::vector<std::shared_ptr<PendingWatch>> pending_watches_;
-  StandinNameReading name_reading_ = StandinNameReading::kDecoded;
+  StandinListRules list_rules_;
+  std::set<std::string> page_ends_;  // Last names of the pages shown so far.
   std::vector<Session> unanswered_;
   std::optional<Snapshot> stale_;  // What lists that may be stale show.
   bool stale_names_present_revision_ = false;
-  size_t page_size_ = 500;
+  size_t max_reads_per_second_ = 0;  // Zero: no limit.
+  std::deque<Time> reads_;           // Of the last second.
   bool later_pages_fail_ = false;
   bool down_ = false;
   int down_status_ = 503;
