Try several ways to go on behind a page of odd names

Callers saw: one odd name on a page of its own, in the list of endpoints or of the configuration, and hosts that start serve nothing, if the store answers 400 after a name that no object has, or sorts names otherwise.

Change: behind a page that does not end with a plain name, a list tries the last plain name, the next possible plain name and the last name as it is written, until one shows other objects. A call that fails, an empty last page, and a page that shows nothing else all count as a way that failed; one that fails often goes last, lost calls at once. A list that passed over names is read a second time by the names as written (routing/list_confirmation): objects exist if either reading shows them, and the list is whole only if one that is whole shows all that the other does. What the first reading shows is used meanwhile.

Why it holds: a store is read if any one of the ways is valid, and no way alone decides that something is gone.

ListReadingTest.SkipThatLeadsBackEndsTheList stated that the list ends where the made-up name leads back. That was the fault; its successor ListEndsIfAllWaysLeadBack asks for the next way first and for the same end.

--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -1,19 +1,22 @@
 // Reads a list of store objects page by page.
 //
-// Handles lists that cannot be continued: a page that cannot be read, or one
-// whose names lead to no further page. What was read of such a list is used,
-// but it does not show that other objects are gone.
+// A list goes on after a name. The store's documentation leaves open how a name
+// must be written, whether an object must have it, and how names are ordered,
+// and other writers may give objects any name. So there are several ways to go
+// on behind a page, each of which fails with some store. If the last name on
+// the page is plain (routing/object_names.h), the list goes on after it.
+// Otherwise the ways are tried in turn until one shows objects that the list
+// has not shown before.
 //
-// A list goes on after plain names only (routing/object_names.h), since stores
-// may read other names differently. After a page without plain names, all names
-// up to the next possible plain one are skipped. That passes over no plain name
-// if the list is in the order of bytes, but the order is unspecified. So such a
-// list is whole only if its names are in that order, and if the known objects
-// that it lacks are found to be gone.
+// What was read is used even if the list cannot go on, but it does not show
+// that other objects are gone. See routing/list_confirmation.h for lists that
+// have passed over names.
 #ifndef ROUTING_LIST_READING_H_
 #define ROUTING_LIST_READING_H_
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,9 +37,31 @@
   StorePosition as_of;
 };
 
+// How a list goes on behind a page.
+enum class ListWay {
+  kLastName,   // After its last name, which is plain; also: the first page.
+  kPlainName,  // After its last plain name, which other names follow.
+  // After the next plain name that an object could have. Passes over the names
+  // up to it, if the list is in the order of bytes.
+  kNextPlainName,
+  kWrittenName,  // After its last name, which is not plain.
+};
+
+template <>
+struct NamesTable<ListWay> {
+  static constexpr EnumName<ListWay> kNames[] = {
+      {ListWay::kLastName, "last_name"},
+      {ListWay::kPlainName, "plain_name"},
+      {ListWay::kNextPlainName, "next_plain_name"},
+      {ListWay::kWrittenName, "written_name"},
+  };
+};
+
 // A list of which some pages have been read.
 struct ListReading {
   std::vector<StoreObject> objects;
+  // Revisions of `objects`, by name; zero: an object that cannot be read.
+  std::map<std::string, uint64_t> revisions;
   std::string after;  // The next page begins after this name.
   // Up to which the list certainly includes all changes. All pages are of its
   // era.
@@ -48,7 +73,20 @@
   size_t pages = 0;
   std::set<std::string> continued_after;
   int failed_calls = 0;  // For the next page.
-  size_t skips = 0;      // Pages after which names were skipped.
+
+  // The names on the page behind which the list goes on; empty if there are
+  // none.
+  std::string last_name;
+  std::string last_plain_name;
+  ListWay way = ListWay::kLastName;  // Of `after`.
+  std::deque<ListWay> ways_left;     // Not tried yet behind that page.
+  // Calls that failed since a way last led on. Ways that fail often are tried
+  // last.
+  std::map<ListWay, int> failures_by_way;
+  bool prefers_written_names = false;  // To the next plain name.
+
+  size_t skips = 0;          // Pages behind which names were passed over.
+  size_t names_written = 0;  // Pages behind which kWrittenName led on.
   bool is_in_byte_order = true;
   bool has_ended = false;  // No further page is to be read.
   // Objects other than those that were read may exist.
@@ -75,26 +113,44 @@
   kPartial,  // The list has ended, but other objects may exist.
   kFailed,   // The next page must be tried again.
   kRestart,  // The store began a new era; the list must be read anew.
+  // See ConfirmList(): the first page must be read again.
+  kReadAgain,
 };
 
 template <>
 struct NamesTable<ListStep> {
   static constexpr EnumName<ListStep> kNames[] = {
-      {ListStep::kReadOn, "read_on"}, {ListStep::kReadObject, "read_object"},
-      {ListStep::kWhole, "whole"},    {ListStep::kPartial, "partial"},
-      {ListStep::kFailed, "failed"},  {ListStep::kRestart, "restart"},
+      {ListStep::kReadOn, "read_on"},
+      {ListStep::kReadObject, "read_object"},
+      {ListStep::kWhole, "whole"},
+      {ListStep::kPartial, "partial"},
+      {ListStep::kFailed, "failed"},
+      {ListStep::kRestart, "restart"},
+      {ListStep::kReadAgain, "read_again"},
   };
 };
 
+// Why a call for a page has brought no answer.
+enum class PageFailure {
+  kLost,
+  kUnavailable,  // The store answered with a server error.
+  kRateLimited,
+};
+
+// Whether the store may answer the next call for a page differently from others
+// because of the name in it, so that a failure does not show its state.
+bool IsGuess(const ListReading& list);
+
 // Adds the next page.
 ListStep OnPage(ListReading& list, ListPage page, ListFreshness freshness);
 // The call for `next_object` has ended.
 ListStep OnObject(ListReading& list, const StoreReply& reply);
 // The store has answered the call for the next page, but not with a page that
 // can be read.
-ListStep OnUnreadablePage(const ListReading& list);
-// The call for the next page was lost, or the store could not answer it.
-ListStep OnFailedPageCall(ListReading& list);
+ListStep OnUnreadablePage(ListReading& list);
+// The call for the next page has failed.
+ListStep OnFailedPageCall(ListReading& list,
+                          PageFailure failure = PageFailure::kUnavailable);
 
 }  // namespace sassafras
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -23,6 +23,9 @@
   virtual ~Store() = default;
 
   virtual void Get(const StoreGet& get, Done done) = 0;
+  // `done` may be called twice: first with what a list shows that must be
+  // confirmed, as a partial list, then with the whole list or another partial
+  // one.
   virtual void List(const StoreList& list, Done done) = 0;
   // Writes the object only if its revision is the expected one. The reply is
   // kUnknown if the write may have taken effect.
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -5,7 +5,11 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
+#include <iostream>
+#include <random>
 #include <set>
 #include <sstream>
 
@@ -80,17 +84,22 @@
 
   // Sends requests for several objects to `host`. Returns the number of
   // endpoints that ran one; each request must be answered 200.
-  size_t CountReached(int host) {
+  size_t CountReached(int host) { return CountReached(host, true); }
+
+  // If `must_be_answered` is not set, requests may be answered otherwise.
+  size_t CountReached(int host, bool must_be_answered) {
     std::set<size_t> reached;
     for (int i = 0; i < 25; ++i) {
       std::vector<size_t> before;
       for (const PlatformStandinEndpoint* it : endpoints_)
         before.push_back(it->runs().size());
       const std::string id = "c" + std::to_string(++requests_);
-      EXPECT_EQ(
+      const int status =
           StatusAt(host, RequestText("GET", "/read/" + id, id,
-                                     "Cookie: Affinity-Key=" + id + "\r\n")),
-          200);
+                                     "Cookie: Affinity-Key=" + id + "\r\n"));
+      if (must_be_answered) {
+        EXPECT_EQ(status, 200);
+      }
       for (size_t k = 0; k < endpoints_.size(); ++k) {
         if (endpoints_[k]->runs().size() > before[k])
           reached.insert(k);
@@ -165,6 +174,229 @@
   }
 }
 
+std::string TextOf(const StandinListRules& rules) {
+  std::ostringstream os;
+  os << "name_reading=" << static_cast<int>(rules.name_reading)
+     << " unknown_name=" << static_cast<int>(rules.unknown_name)
+     << " order=" << static_cast<int>(rules.order)
+     << " continues_only_after_pages=" << rules.continues_only_after_pages
+     << " page_size=" << rules.page_size << " page_bytes=" << rules.page_bytes;
+  return os.str();
+}
+
+std::vector<std::string> NumberedNames(const std::string& prefix, int n) {
+  std::vector<std::string> names;
+  names.reserve(static_cast<size_t>(n));
+  for (int i = 0; i < n; ++i)
+    names.push_back(prefix + std::to_string(i));
+  return names;
+}
+
+// Each of these stores can be read in some way: it takes names as they are
+// written, or goes on after names that no object has in the order of bytes.
+std::vector<StandinListRules> ReadableStores() {
+  std::vector<StandinListRules> stores;
+  for (const auto order :
+       {StandinOrder::kByBytes, StandinOrder::kDescending,
+        StandinOrder::kIgnoringCase, StandinOrder::kIgnoringPunctuation,
+        StandinOrder::kByHash, StandinOrder::kByCreation}) {
+    for (const auto unknown :
+         {StandinUnknownName::kAccepted, StandinUnknownName::kRefused,
+          StandinUnknownName::kUnavailable, StandinUnknownName::kEndsList,
+          StandinUnknownName::kRestartsList}) {
+      stores.push_back({StandinNameReading::kDecoded, unknown, order});
+    }
+    stores.push_back({StandinNameReading::kDecoded,
+                      StandinUnknownName::kAccepted, order, true});
+  }
+  stores.push_back(
+      {StandinNameReading::kDecoded, StandinUnknownName::kUnanswered});
+  for (const auto reading :
+       {StandinNameReading::kNotDecoded,
+        StandinNameReading::kDecodedBeforeSplit, StandinNameReading::kRefused,
+        StandinNameReading::kUnavailable, StandinNameReading::kUnanswered})
+    stores.push_back({reading});
+  return stores;
+}
+
+// Incident 031. The platform's documentation leaves open which names a list
+// can go on after, how they are written, the order, and the size of pages.
+TEST_F(EntryNamesTest, NoSingleRuleOfListsStopsService) {
+  constexpr int kHosts = 2;
+  const std::vector<std::vector<std::string>> cases = {{"a&b"},
+                                                       NumberedNames("a&", 21),
+                                                       {"i-2&", "i-2+", "i-2#"},
+                                                       OddNames(),
+                                                       NumberedNames("z ", 31)};
+  struct PageLimit {
+    size_t objects = 0;
+    size_t bytes = 1 << 20;
+  };
+  const std::vector<PageLimit> pages = {{1}, {2}, {3}, {5}, {500, 600}};
+  AddEndpoints(4);
+  size_t play = 0;
+  for (StandinListRules rules : ReadableStores()) {
+    // Each store meets another pair of these than the one before it.
+    const auto& names = cases[play % cases.size()];
+    const PageLimit& page = pages[(play / cases.size() + play) % pages.size()];
+    ++play;
+    rules.page_size = page.objects;
+    rules.page_bytes = page.bytes;
+    SCOPED_TRACE(TextOf(rules));
+    SCOPED_TRACE(testing::PrintToString(names[0]));
+    world_.store().set_list_rules(rules);
+    PutAll(names, Json{{"service", 5}});
+    world_.PutConfig(static_cast<int>(play));
+    StartHosts(kHosts);
+    for (int i = 1; i <= kHosts; ++i)
+      EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+    KillHosts(kHosts);
+    DeleteAll(names);
+  }
+}
+
+// A store that is drawn from all rules, and what other writers do to it.
+struct DrawnStore {
+  StandinListRules rules;
+  std::vector<std::string> names;
+  std::vector<std::string> kinds;
+  bool appear_after_start = false;
+};
+
+template <typename T>
+T Draw(std::mt19937& random, const std::vector<T>& choices) {
+  return choices[random() % choices.size()];
+}
+
+DrawnStore DrawStore(std::mt19937& random) {
+  using Reading = StandinNameReading;
+  using Unknown = StandinUnknownName;
+  using Order = StandinOrder;
+  DrawnStore store;
+  store.rules.name_reading = Draw<Reading>(
+      random, {Reading::kDecoded, Reading::kDecoded, Reading::kNotDecoded,
+               Reading::kDecodedBeforeSplit, Reading::kRefused,
+               Reading::kUnavailable, Reading::kUnanswered});
+  store.rules.unknown_name =
+      Draw<Unknown>(random, {Unknown::kAccepted, Unknown::kRefused,
+                             Unknown::kUnavailable, Unknown::kUnanswered,
+                             Unknown::kEndsList, Unknown::kRestartsList});
+  store.rules.order =
+      Draw<Order>(random, {Order::kByBytes, Order::kByBytes, Order::kDescending,
+                           Order::kIgnoringCase, Order::kIgnoringPunctuation,
+                           Order::kByHash, Order::kByCreation});
+  store.rules.continues_only_after_pages = Draw<int>(random, {0, 0, 0, 1}) != 0;
+  store.rules.page_size = Draw<size_t>(random, {1, 2, 3, 5, 500});
+  store.rules.page_bytes = Draw<size_t>(random, {600, 1 << 20});
+  store.names =
+      Draw<std::vector<std::string>>(random, {{"a&b"},
+                                              NumberedNames("a&", 21),
+                                              {"i-2&", "i-2+", "i-2#"},
+                                              OddNames(),
+                                              NumberedNames("z ", 31)});
+  store.kinds = Draw<std::vector<std::string>>(
+      random, {{std::begin(kKinds), std::end(kKinds)},
+               {"servers"},
+               {"evacuations"},
+               {"config"},
+               {"steering-hosts"}});
+  store.appear_after_start = Draw<int>(random, {0, 0, 1}) != 0;
+  return store;
+}
+
+// Whether some way to go on after any name is valid in each list of the store.
+bool CanBeRead(const StandinListRules& rules) {
+  const bool takes_next_names =
+      rules.unknown_name == StandinUnknownName::kAccepted &&
+      rules.order == StandinOrder::kByBytes &&
+      !rules.continues_only_after_pages;
+  return rules.name_reading == StandinNameReading::kDecoded || takes_next_names;
+}
+
+// Incident 031. STORES=FIRST-LAST draws others.
+TEST_F(EntryNamesTest, DrawnStoresAreServed) {
+  constexpr int kHosts = 2;
+  int first = 1;
+  int last = 20;
+  if (const char* range = std::getenv("STORES"))
+    ASSERT_EQ(std::sscanf(range, "%d-%d", &first, &last), 2);
+  AddEndpoints(4);
+  for (int i = first; i <= last; ++i) {
+    std::mt19937 random(static_cast<uint32_t>(i));
+    const DrawnStore store = DrawStore(random);
+    SCOPED_TRACE(i);
+    SCOPED_TRACE(TextOf(store.rules));
+    const auto put_all = [&] {
+      for (const std::string& kind : store.kinds) {
+        for (const std::string& it : store.names)
+          world_.store().Put(kind, it, Json{{"service", 5}});
+      }
+    };
+    world_.store().set_list_rules(store.rules);
+    world_.PutConfig(i);
+    if (!store.appear_after_start)
+      put_all();
+    for (int k = 1; k <= kHosts; ++k)
+      world_.StartGateway(k);
+    size_t least_reached = endpoints_.size();
+    for (int k = 1; k <= kHosts; ++k) {
+      const bool is_ready = world_.WaitReady(k);
+      EXPECT_TRUE(is_ready || !CanBeRead(store.rules));
+      if (!is_ready)
+        least_reached = 0;
+    }
+    if (store.appear_after_start) {
+      world_.store().DropWatchEvents();
+      put_all();
+      world_.store().DropHistory();
+      Wait(kApplyTime);
+    }
+    for (int k = 1; k <= kHosts && least_reached > 0; ++k) {
+      size_t reached = 0;
+      world_.Eventually(kApplyTime, [&] {
+        reached = CountReached(k, CanBeRead(store.rules));
+        return reached == endpoints_.size();
+      });
+      least_reached = std::min(least_reached, reached);
+    }
+    EXPECT_TRUE(least_reached == endpoints_.size() || !CanBeRead(store.rules));
+    std::cout << "store " << i << ": " << least_reached << " of "
+              << endpoints_.size() << " endpoints; " << TextOf(store.rules)
+              << " names=" << testing::PrintToString(store.names[0])
+              << " kinds=" << testing::PrintToString(store.kinds)
+              << " after_start=" << store.appear_after_start << '\n';
+    KillHosts(kHosts);
+    for (const char* kind : kKinds) {
+      for (const std::string& it : store.names)
+        world_.store().Delete(kind, it);
+    }
+  }
+}
+
+// Incident 031. Each page with such names takes more than one call.
+TEST_F(EntryNamesTest, ManyOddNamesDoNotUseUpTheReadsOfTheStore) {
+  constexpr int kHosts = 3;
+  const std::vector<std::string> names = NumberedNames("a&", 300);
+  for (const std::string& it : names)
+    world_.store().Put("servers", it, Json{{"service", 5}});
+  AddEndpoints(4);
+  int version = 0;
+  for (const size_t reads : {20, 5}) {
+    for (const size_t page_size : {1, 5}) {
+      SCOPED_TRACE(reads);
+      SCOPED_TRACE(page_size);
+      world_.store().set_page_size(page_size);
+      world_.store().set_max_reads_per_second(reads);
+      world_.PutConfig(++version);
+      StartHosts(kHosts);
+      for (int i = 1; i <= kHosts; ++i)
+        EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+      KillHosts(kHosts);
+      world_.store().set_max_reads_per_second(0);
+    }
+  }
+}
+
 // Incident 031.
 TEST_F(EntryNamesTest, RemovalsHoldIfListsSkipNames) {
   constexpr int kHosts = 2;
@@ -315,7 +547,7 @@
   // A host that starts has the rest from the others.
   world_.StartGateway(kHosts + 1);
   ASSERT_TRUE(world_.WaitReady(kHosts + 1));
-  EXPECT_TRUE(AllReachedWithin(kApplyTime, kHosts + 1));
+  EXPECT_TRUE(AllReachedWithin(kApplyTime, kHosts + 1)) << LogOf(kHosts + 1);
   world_.store().DropHistory();
   Wait(kApplyTime);
   for (int i = 1; i <= kHosts + 1; ++i)
--- a/tests/routing/list_reading_test.cc
+++ b/tests/routing/list_reading_test.cc
@@ -184,13 +184,72 @@
 }
 
 // Incident 031. As in a store whose names are in another order.
-TEST(ListReadingTest, SkipThatLeadsBackEndsTheList) {
+TEST(ListReadingTest, ListEndsIfAllWaysLeadBack) {
   ListReading list;
   EXPECT_EQ(Add(list, PageOf({"i-1&"})), ListStep::kReadObject);
   EXPECT_EQ(OnObject(list, Gone()), ListStep::kReadOn);
+  EXPECT_EQ(Add(list, PageOf({"i-1&"})), ListStep::kReadOn);
+  EXPECT_EQ(list.after, "i-1&");
+  EXPECT_EQ(list.skips, 0U);
   EXPECT_EQ(Add(list, PageOf({"i-1&"})), ListStep::kPartial);
 }
 
+// A list that the store does not continue after `a-`, which no object has.
+ListReading RefusedList(PageFailure failure) {
+  ListReading list;
+  EXPECT_EQ(Add(list, PageOf({"a&"})), ListStep::kReadObject);
+  EXPECT_EQ(OnObject(list, Gone()), ListStep::kReadOn);
+  EXPECT_TRUE(IsGuess(list));
+  EXPECT_EQ(OnFailedPageCall(list, failure), ListStep::kReadOn);
+  EXPECT_EQ(list.after, "a&");
+  return list;
+}
+
+// Incident 031.
+TEST(ListReadingTest, ListGoesOnAfterAnOddNameIfTheStoreRefusesTheNextOne) {
+  ListReading list = RefusedList(PageFailure::kUnavailable);
+  EXPECT_EQ(Add(list, PageOf({"b&"})), ListStep::kReadObject);
+  EXPECT_EQ(OnObject(list, Gone()), ListStep::kReadOn);
+  EXPECT_EQ(OnUnreadablePage(list), ListStep::kReadOn);
+  EXPECT_EQ(list.after, "b&");
+  EXPECT_EQ(Add(list, PageOf({"c&"})), ListStep::kReadOn);
+  EXPECT_EQ(list.after, "c&");
+  EXPECT_EQ(Add(list, LastPageOf({"d"})), ListStep::kWhole);
+}
+
+// Incident 031. Else each such name would cost the time of a lost call.
+TEST(ListReadingTest, WayWhoseCallIsLostIsNotTakenForEachName) {
+  ListReading list = RefusedList(PageFailure::kLost);
+  EXPECT_EQ(Add(list, PageOf({"b&"})), ListStep::kReadOn);
+  EXPECT_EQ(list.after, "b&");
+  // If the other way fails, it is tried again.
+  EXPECT_EQ(OnUnreadablePage(list), ListStep::kReadObject);
+  EXPECT_EQ(list.after, "b-");
+}
+
+// Incident 031. Such an answer says nothing about the name.
+TEST(ListReadingTest, CallThatExceedsTheRateIsRepeated) {
+  ListReading list;
+  Add(list, PageOf({"a&"}));
+  OnObject(list, Gone());
+  EXPECT_EQ(OnFailedPageCall(list, PageFailure::kRateLimited),
+            ListStep::kFailed);
+  EXPECT_EQ(list.after, "a-");
+  EXPECT_EQ(Add(list, LastPageOf({"d"})), ListStep::kWhole);
+}
+
+// Incident 031. The page before it said that there are others.
+TEST(ListReadingTest, EndWithoutOtherObjectsIsNoEnd) {
+  ListReading list;
+  Add(list, PageOf({"a&"}));
+  OnObject(list, Gone());
+  ListPage empty;
+  empty.as_of = {0, 9};
+  EXPECT_EQ(Add(list, empty), ListStep::kReadOn);
+  EXPECT_EQ(list.after, "a&");
+  EXPECT_EQ(Add(list, empty), ListStep::kPartial);
+}
+
 TEST(ListReadingTest, UnreadablePageEndsAListThatHasBegun) {
   ListReading list;
   EXPECT_EQ(OnUnreadablePage(list), ListStep::kFailed);
