Probe the store with one page

A probe tells whether the store answers, but read the list of evacuations to its end each time, with several calls for each page of odd names. It reads the first page now.

--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -63,6 +63,8 @@
   std::string kind;
   Duration timeout{};  // Zero: the default of the store client.
   ListFreshness freshness = ListFreshness::kCurrent;
+  // The reply is partial if there are other pages.
+  bool only_first_page = false;
 };
 
 // Writes `value` if the object's revision is `expected_revision`. Zero means
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -368,12 +368,15 @@
     return;
   is_probing_ = true;
   last_probe_ = state_.loop.Now();
-  store_->List(
-      {platform::kEvacuationKind, kProbeTimeout, ListFreshness::kMayBeStale},
-      [this](const StoreReply& reply) {
-        is_probing_ = false;
-        OnCallEnded(reply.status);
-      });
+  StoreList list;
+  list.kind = platform::kEvacuationKind;
+  list.timeout = kProbeTimeout;
+  list.freshness = ListFreshness::kMayBeStale;
+  list.only_first_page = true;
+  store_->List(list, [this](const StoreReply& reply) {
+    is_probing_ = false;
+    OnCallEnded(reply.status);
+  });
 }
 
 void StoreCacheFeed::OnTick() {
