Search for what lies behind a page without readable names

Callers saw: three entries without a readable name in a row, on pages of 1, 2 or 3, and hosts that start know only the endpoints before them.

Cause: such a page shows no name to go on after, and ended the list.

Change: a binary search over plain names in the order of bytes, at most 100 pages for a list, finds one after which the list shows other objects, and comes closer in two more rounds (routing/name_search). What it has found is kept for the next list. Names may lie in between, so that the list stays partial: nothing is removed by it.

ObjectsBehindPagesWithoutNamesAreFound fails without the search, and with one round only.

--- a/src/routing/list_confirmation.cc
+++ b/src/routing/list_confirmation.cc
@@ -12,6 +12,7 @@
   reading.prefers_written_names = true;
   reading.begun_at = first.begun_at;
   reading.failures_by_way = first.failures_by_way;
+  reading.found_by_search = first.found_by_search;
   reading.known_names = list.known_names;
   return reading;
 }
--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -152,7 +152,7 @@
 
 std::deque<ListWay> WaysBehind(const ListReading& list) {
   if (list.last_name.empty())
-    return {};
+    return {ListWay::kSearch};
   if (list.last_name == list.last_plain_name)
     return {ListWay::kLastName};
   std::deque<ListWay> ways = {ListWay::kNextPlainName, ListWay::kWrittenName};
@@ -168,6 +168,43 @@
   return ways;
 }
 
+ListStep TryNextWay(ListReading& list);
+
+ListStep ContinueSearch(ListReading& list) {
+  if (const auto name = NextSearchName(list.search)) {
+    list.after = *name;
+    return ListStep::kReadOn;
+  }
+  const std::string& found = list.search.found;
+  if (found.empty() && list.found_by_search.erase(list.last_after) > 0) {
+    BeginSearch(list.search, list.last_after);
+    return ContinueSearch(list);
+  }
+  if (found.empty() || !list.continued_after.insert(found).second)
+    return TryNextWay(list);
+  list.found_by_search[list.last_after] = found;
+  // Plain names may lie between those that were tried.
+  list.may_lack_objects = true;
+  list.way = ListWay::kLastName;
+  return ReadObjectAndContinueAfter(list, found);
+}
+
+ListStep OnSearchPage(ListReading& list, ListPage& page) {
+  const bool leads_on = !page.has_more || ShowsOthers(list, page);
+  OnSearchResult(list.search, leads_on);
+  // The page after the name that is found shows its objects.
+  return ContinueSearch(list);
+}
+
+void BeginSearchBehind(ListReading& list) {
+  list.last_after = list.after;
+  const auto it = list.found_by_search.find(list.last_after);
+  if (it == list.found_by_search.end())
+    BeginSearch(list.search, list.last_after);
+  else
+    TryFoundName(list.search, it->second);
+}
+
 // Begins to go on in `way`; nothing if that is impossible.
 std::optional<ListStep> TryWay(ListReading& list, ListWay way) {
   list.way = way;
@@ -193,6 +230,9 @@
           !ContinueAfter(list, list.last_name))
         return std::nullopt;
       return ListStep::kReadOn;
+    case ListWay::kSearch:
+      BeginSearchBehind(list);
+      return ContinueSearch(list);
   }
   return std::nullopt;
 }
@@ -238,6 +278,8 @@
   list.newest_as_of = std::max(list.newest_as_of, page.as_of);
   ++list.pages;
   list.failed_calls = 0;
+  if (list.way == ListWay::kSearch)
+    return OnSearchPage(list, page);
   // The page before this one said that there are others, so that an end of the
   // list without any is no end either.
   if (!LeadsOn(list, page))
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -23,6 +23,7 @@
 
 #include "base/names_table.h"
 #include "decisions/store_calls.h"
+#include "routing/name_search.h"
 
 namespace sassafras {
 
@@ -45,6 +46,9 @@
   // up to it, if the list is in the order of bytes.
   kNextPlainName,
   kWrittenName,  // After its last name, which is not plain.
+  // After plain names that may lie behind a page without readable names, until
+  // one of them shows other objects.
+  kSearch,
 };
 
 template <>
@@ -54,6 +58,7 @@
       {ListWay::kPlainName, "plain_name"},
       {ListWay::kNextPlainName, "next_plain_name"},
       {ListWay::kWrittenName, "written_name"},
+      {ListWay::kSearch, "search"},
   };
 };
 
@@ -84,6 +89,11 @@
   // last.
   std::map<ListWay, int> failures_by_way;
   bool prefers_written_names = false;  // To the next plain name.
+  NameSearch search;
+  std::string last_after;  // From which `search` was begun.
+  // What searches have found, by the names from which they began. Remains valid
+  // from one list to the next.
+  std::map<std::string, std::string> found_by_search;
 
   size_t skips = 0;          // Pages behind which names were passed over.
   size_t names_written = 0;  // Pages behind which kWrittenName led on.
--- a/src/routing/object_names.cc
+++ b/src/routing/object_names.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace sassafras {
 
@@ -11,6 +12,10 @@
 constexpr std::string_view kUnreserved =
     "-.0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZ_abcdefghijklmnopqrstuvwxyz~";
 
+// That the names of PlainNamesBehind() have in common with the one before them,
+// so that their number is limited.
+constexpr size_t kMaxCommonBytes = 64;
+
 bool IsUnreserved(char c) {
   return kUnreserved.find(c) != std::string_view::npos;
 }
@@ -60,4 +65,44 @@
   return next;
 }
 
+std::vector<std::string> PlainNamesWithPrefix(const std::string& prefix) {
+  std::vector<std::string> names;
+  for (const char c : kUnreserved) {
+    if (IsPlainName(prefix + c))
+      names.push_back(prefix + c);
+  }
+  return names;
+}
+
+std::vector<std::string> PlainNamesBehind(const std::string& name) {
+  std::vector<std::string> names;
+  std::string begin = name;
+  if (!name.empty() && !IsPlainName(name)) {
+    const auto next = NextPlainName(name);
+    if (!next)
+      return names;
+    names.push_back(*next);
+    begin = *next;
+  }
+  // Adds the names that begin with `begin`, which ends before `c` in `name`.
+  const auto add_names_behind = [&](std::optional<char> c) {
+    for (std::string& it : PlainNamesWithPrefix(begin)) {
+      if (!c || IsLess(*c, it.back()))
+        names.push_back(std::move(it));
+    }
+  };
+  std::optional<char> c;
+  while (begin.size() > kMaxCommonBytes) {
+    c = begin.back();
+    begin.pop_back();
+  }
+  add_names_behind(c);
+  while (!begin.empty()) {
+    c = begin.back();
+    begin.pop_back();
+    add_names_behind(c);
+  }
+  return names;
+}
+
 }  // namespace sassafras
--- a/src/routing/object_names.h
+++ b/src/routing/object_names.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sassafras {
 
@@ -22,6 +23,15 @@
 // none.
 std::optional<std::string> NextPlainName(const std::string& name);
 
+// The plain names that consist of `prefix`, which is plain or empty, and one
+// character more. In the order of bytes.
+std::vector<std::string> PlainNamesWithPrefix(const std::string& prefix);
+
+// Some plain names behind `name`, which may be empty, in the order of bytes:
+// those that begin as `name` or the next plain name does and have one other
+// character behind that.
+std::vector<std::string> PlainNamesBehind(const std::string& name);
+
 }  // namespace sassafras
 
 #endif  // ROUTING_OBJECT_NAMES_H_
--- a/tests/routing/list_stores_test.cc
+++ b/tests/routing/list_stores_test.cc
@@ -28,6 +28,7 @@
 
 struct ModelStore {
   std::set<std::string> names;
+  std::set<std::string> nameless;
   Order order = Order::kByBytes;
   NameRule other_names = NameRule::kTaken;    // Those that are not plain.
   NameRule unknown_names = NameRule::kTaken;  // Those that no object has.
@@ -98,6 +99,8 @@
     }
     ++n;
     store.page_ends.insert(it);
+    if (store.nameless.count(it) > 0)
+      continue;
     page.objects.push_back({"k", it, 3, "{}"});
     page.last_name = it;
   }
@@ -204,5 +207,29 @@
   });
 }
 
+// Incident 031.
+TEST(ListStoresTest, ObjectsBehindPagesWithoutNamesAreFound) {
+  for (const char* begin : {"a", "i-1", "i-1c", "i-2", "w", "z"}) {
+    for (const size_t page_size : {1, 2, 3}) {
+      SCOPED_TRACE(begin);
+      SCOPED_TRACE(page_size);
+      ModelStore store;
+      store.page_size = page_size;
+      store.names = kPlainNames;
+      for (const char* end : {"p\xff", "q&", "r ", "s\x01"})
+        store.nameless.insert(std::string(begin) + end);
+      store.names.insert(store.nameless.begin(), store.nameless.end());
+      // Close behind them.
+      const std::string next = std::string(begin) + "s-5";
+      store.names.insert(next);
+      const Outcome out = Read(store, {});
+      EXPECT_EQ(out.step, ListStep::kPartial);
+      EXPECT_EQ(out.names.count(next), 1U);
+      EXPECT_TRUE(ShowsAllPlainNames(out));
+      EXPECT_LE(out.calls, 100);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/routing/object_names_test.cc
+++ b/tests/routing/object_names_test.cc
@@ -80,5 +80,28 @@
   }
 }
 
+// Incident 031.
+TEST(ObjectNamesTest, NamesBehindANameAscend) {
+  for (const std::string& it :
+       {std::string(), std::string("i-1"), std::string("i-1&"),
+        std::string("~"), std::string("-"), std::string("."),
+        std::string(kMaxPlainNameBytes, 'x')}) {
+    SCOPED_TRACE(it);
+    const auto names = PlainNamesBehind(it);
+    EXPECT_LT(names.size(), 5000U);
+    EXPECT_TRUE(std::is_sorted(names.begin(), names.end()));
+    EXPECT_EQ(std::adjacent_find(names.begin(), names.end()), names.end());
+    for (const std::string& name : names) {
+      EXPECT_GT(name, it);
+      EXPECT_TRUE(IsPlainName(name));
+    }
+  }
+  const auto names = PlainNamesBehind("i-1");
+  EXPECT_EQ(names.front(), "i-1-");
+  EXPECT_EQ(names.back(), "~");
+  EXPECT_EQ(std::count(names.begin(), names.end(), "i-2"), 1);
+  EXPECT_TRUE(PlainNamesBehind("~\xff").empty());
+}
+
 }  // namespace
 }  // namespace sassafras
