Read objects that are needed by name without a list

Callers saw: odd entries in the list of the configuration or of the evacuations, in a store that goes on after no name that the list can give: no host becomes ready.

Cause: `config/main` has a known name, but was read by its list only.

Change: names that objects of a kind are expected to have (`main`; the availability zones of the settings) are read one by one if their list cannot be read to its end. If the list cannot be read at all, a host that starts reads the configuration by its name.

--- a/src/decisions/store_calls.h
+++ b/src/decisions/store_calls.h
@@ -93,8 +93,8 @@
   StoreStatus status = StoreStatus::kUnavailable;
   // The objects read or written; after a conflict, the current object.
   std::vector<StoreObject> objects;
-  // For a list: the position that it reflects. Its era is also that of the
-  // objects' revisions.
+  // For a list: the position that it reflects; else unknown. Its era is also
+  // that of the objects' revisions.
   StorePosition as_of;
   // For a list: it could not be read to its end, so that other objects may
   // exist.
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -81,6 +81,8 @@
       [this](bool reachable) { OnStoreReachable(reachable); });
   store_->set_known_names(
       [this](const std::string& kind) { return NamesOf(table_, kind); });
+  store_->set_expected_names(
+      [this](const std::string& kind) { return ExpectedNames(kind); });
   tick_ = state_.loop.Every(kTickPeriod, [this] { OnTick(); });
   ReadFirstLists();
   ReadHosts();
@@ -141,10 +143,36 @@
                    OnCallEnded(reply.status);
                    if (reply.status == StoreStatus::kOk)
                      OnFirstList(name, reply);
+                   else if (name == platform::kConfigKind)
+                     ReadConfigByName();
                  });
   }
 }
 
+// The store may answer this although it cannot answer the list.
+void StoreCacheFeed::ReadConfigByName() {
+  store_->Get({platform::kConfigKind, platform::kConfigName},
+              [this](const StoreReply& reply) {
+                if (reply.status != StoreStatus::kOk ||
+                    table_.kinds[platform::kConfigKind].as_of.is_known())
+                  return;
+                OnStoreChange(platform::kConfigKind,
+                              {reply.objects, false, reply.as_of, true});
+              });
+}
+
+std::set<std::string> StoreCacheFeed::ExpectedNames(
+    const std::string& kind) const {
+  std::set<std::string> names;
+  if (kind == platform::kConfigKind)
+    names.insert(platform::kConfigName);
+  if (kind == platform::kEvacuationKind) {
+    for (const auto& [zone, region] : state_.settings.regions)
+      names.insert(zone.value());
+  }
+  return names;
+}
+
 void StoreCacheFeed::OnFirstList(const std::string& kind,
                                  const StoreReply& list) {
   const StorePosition known = table_.kinds[kind].as_of;
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,9 @@
 
  private:
   void ReadFirstLists();
+  void ReadConfigByName();
+  // Names that objects of `kind` may have, whether or not they are cached.
+  std::set<std::string> ExpectedNames(const std::string& kind) const;
   void OnFirstList(const std::string& kind, const StoreReply& list);
   ListFreshness FreshnessOfFirstList(const std::string& kind) const;
   void OnStoreChange(const std::string& kind, const StoreChange& change);
--- a/src/routing/list_confirmation.cc
+++ b/src/routing/list_confirmation.cc
@@ -14,6 +14,7 @@
   reading.failures_by_way = first.failures_by_way;
   reading.found_by_search = first.found_by_search;
   reading.known_names = list.known_names;
+  reading.expected_names = list.expected_names;
   return reading;
 }
 
@@ -42,10 +43,13 @@
 
 }  // namespace
 
-ConfirmedList BeginList(std::set<std::string> known_names) {
+ConfirmedList BeginList(std::set<std::string> known_names,
+                        std::set<std::string> expected_names) {
   ConfirmedList list;
   list.reading.known_names = known_names;
+  list.reading.expected_names = expected_names;
   list.known_names = std::move(known_names);
+  list.expected_names = std::move(expected_names);
   return list;
 }
 
--- a/src/routing/list_confirmation.h
+++ b/src/routing/list_confirmation.h
@@ -19,13 +19,16 @@
 
 struct ConfirmedList {
   ListReading reading;
-  std::set<std::string> known_names;  // With which both readings begin.
+  // Both readings begin with these; see ListReading.
+  std::set<std::string> known_names;
+  std::set<std::string> expected_names;
   // The first reading, while the second one goes on.
   std::optional<ListReading> first;
   bool is_first_whole = false;
 };
 
-ConfirmedList BeginList(std::set<std::string> known_names);
+ConfirmedList BeginList(std::set<std::string> known_names,
+                        std::set<std::string> expected_names);
 
 // Handles the step to which the last page, object or failure has led. Returns
 // the step to take for the list as a whole. On kReadAgain, the objects in
--- a/src/routing/list_reading.cc
+++ b/src/routing/list_reading.cc
@@ -95,20 +95,24 @@
     list.revisions.try_emplace(page.last_name, 0);
 }
 
-// Reads the next of the known objects that the list lacks.
+// Reads the next object that the list may lack.
 ListStep ReadNextMissing(ListReading& list) {
-  if (list.may_lack_objects)
-    return ListStep::kPartial;
-  if (list.known_names.empty())
-    return ListStep::kWhole;
-  list.next_object = list.known_names.extract(list.known_names.begin()).value();
+  std::set<std::string>& names =
+      list.may_lack_objects ? list.expected_names : list.known_names;
+  if (names.empty())
+    return list.may_lack_objects ? ListStep::kPartial : ListStep::kWhole;
+  list.next_object = names.extract(names.begin()).value();
   return ListStep::kReadObject;
 }
 
 ListStep EndPartialList(ListReading& list) {
   list.has_ended = true;
   list.may_lack_objects = true;
-  return ListStep::kPartial;
+  for (const auto& [name, revision] : list.revisions) {
+    if (revision > 0)
+      list.expected_names.erase(name);
+  }
+  return ReadNextMissing(list);
 }
 
 // The store has named no further page.
@@ -124,6 +128,8 @@
   // The others cannot be named by any call.
   for (auto it = list.known_names.begin(); it != list.known_names.end();)
     it = IsPlainName(*it) ? std::next(it) : list.known_names.erase(it);
+  list.known_names.insert(list.expected_names.begin(),
+                          list.expected_names.end());
   for (const auto& [name, revision] : list.revisions) {
     if (revision > 0)
       list.known_names.erase(name);
@@ -312,6 +318,7 @@
       list.way = ListWay::kLastName;
     return ListStep::kReadOn;
   }
+  list.expected_names.erase(list.next_object);
   // Passed over by the list, which is not older than the object.
   if (is_found && reply.objects[0].revision <= list.as_of.revision())
     list.may_lack_objects = true;
--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -105,6 +105,9 @@
   // Of the objects that were known before the list was begun. Once it has
   // ended, only of those that it lacks and that must still be read.
   std::set<std::string> known_names;
+  // That objects may have, whether or not they are known. They are read by
+  // themselves if the list may lack them.
+  std::set<std::string> expected_names;
 };
 
 // Calls for a page after the first one that may fail before the list is taken
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -56,6 +56,14 @@
     known_names_ = std::move(fn);
   }
 
+  // `fn` returns names that objects of a kind may have, whether or not they are
+  // cached. These objects are read one by one if the list of the kind cannot be
+  // read to its end.
+  void set_expected_names(
+      std::function<std::set<std::string>(const std::string& kind)> fn) {
+    expected_names_ = std::move(fn);
+  }
+
   bool is_reachable() const { return is_reachable_; }
 
  protected:
@@ -72,11 +80,15 @@
   std::set<std::string> KnownNames(const std::string& kind) const {
     return known_names_ ? known_names_(kind) : std::set<std::string>();
   }
+  std::set<std::string> ExpectedNames(const std::string& kind) const {
+    return expected_names_ ? expected_names_(kind) : std::set<std::string>();
+  }
 
  private:
   bool is_reachable_ = true;
   std::function<void(bool)> on_reachable_;
   std::function<std::set<std::string>(const std::string&)> known_names_;
+  std::function<std::set<std::string>(const std::string&)> expected_names_;
 };
 
 // Creates a client of the store at `address`. `timeout` applies to each call
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -373,6 +373,38 @@
   }
 }
 
+// Incident 031. No way to go on is valid in this store.
+TEST_F(EntryNamesTest, ObjectsThatAreNeededByNameNeedNoList) {
+  world_.UseAllZones();
+  StandinListRules rules;
+  rules.page_size = 1;
+  rules.name_reading = StandinNameReading::kRefused;
+  rules.unknown_name = StandinUnknownName::kRefused;
+  world_.store().set_list_rules(rules);
+  for (const char* kind : {"config", "evacuations"}) {
+    for (const char* it : {"a&", "a+", "a#"})
+      world_.store().Put(kind, it, Json{{"service", 5}});
+  }
+  AddEndpoints(1);
+  PlatformStandinEndpoint& evacuated =
+      world_.AddEndpoint("rondas", kStandinZones[1].zone);
+  world_.store().Put("evacuations", kStandinZones[1].zone, Json::object());
+  world_.PutConfig(1);
+  StartHosts(2);
+  for (int i = 1; i <= 2; ++i)
+    EXPECT_EQ(CountReached(i), 1U);
+  EXPECT_EQ(evacuated.arrivals(), 0);
+  // Both are followed from then on.
+  world_.store().Delete("evacuations", kStandinZones[1].zone);
+  world_.PutConfig(2, "/added/");
+  EXPECT_TRUE(world_.Eventually(kApplyTime, [&] {
+    return StatusAt(1, RequestText("GET", "/added/1", "n")) == 200;
+  }));
+  endpoints_.push_back(&evacuated);
+  for (int i = 1; i <= 2; ++i)
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+}
+
 // Incident 031. Each page with such names takes more than one call.
 TEST_F(EntryNamesTest, ManyOddNamesDoNotUseUpTheReadsOfTheStore) {
   constexpr int kHosts = 3;
--- a/tests/routing/list_confirmation_test.cc
+++ b/tests/routing/list_confirmation_test.cc
@@ -32,7 +32,7 @@
 
 // A list that has passed over names and then shown these.
 ConfirmedList ListThatSkipped(const std::vector<std::string>& names) {
-  ConfirmedList list = BeginList({});
+  ConfirmedList list = BeginList({}, {});
   EXPECT_EQ(AddPage(list, {"a&"}, true), ListStep::kReadObject);
   EXPECT_EQ(AnswerNotFound(list), ListStep::kReadOn);
   EXPECT_EQ(AddPage(list, names, false), ListStep::kReadAgain);
@@ -92,7 +92,7 @@
 
 // Incident 031.
 TEST(ListConfirmationTest, ListWithoutSkippedNamesIsReadOnce) {
-  ConfirmedList list = BeginList({});
+  ConfirmedList list = BeginList({}, {});
   EXPECT_EQ(AddPage(list, {"a&", "b"}, true), ListStep::kReadOn);
   EXPECT_EQ(AddPage(list, {"c&"}, false), ListStep::kWhole);
 }
--- a/tests/routing/list_stores_test.cc
+++ b/tests/routing/list_stores_test.cc
@@ -114,7 +114,7 @@
 };
 
 Outcome Read(ModelStore store, std::set<std::string> known_names) {
-  ConfirmedList list = BeginList(std::move(known_names));
+  ConfirmedList list = BeginList(std::move(known_names), {});
   Outcome out;
   out.step = ListStep::kReadOn;
   while (out.step != ListStep::kWhole && out.step != ListStep::kPartial &&
@@ -231,5 +231,35 @@
   }
 }
 
+// Incident 031. Objects that are needed by their names need no list.
+TEST(ListStoresTest, ExpectedObjectsOfAPartialListAreRead) {
+  ModelStore store;
+  store.names = {"a&", "main"};
+  store.other_names = NameRule::kRefused;
+  store.unknown_names = NameRule::kRefused;
+  ConfirmedList list = BeginList({}, {"main", "other"});
+  std::set<std::string> objects_read;
+  ListStep step = AnswerPage(store, list);
+  while (step == ListStep::kReadOn || step == ListStep::kReadObject) {
+    if (step == ListStep::kReadOn) {
+      step = AnswerPage(store, list);
+      continue;
+    }
+    const std::string name = list.reading.next_object;
+    objects_read.insert(name);
+    StoreReply reply;
+    reply.status = StoreStatus::kNotFound;
+    if (name == "main") {
+      reply.status = StoreStatus::kOk;
+      reply.objects.push_back({"k", name, 3, "{}"});
+    }
+    step = ConfirmList(list, OnObject(list.reading, reply));
+  }
+  EXPECT_EQ(step, ListStep::kPartial);
+  EXPECT_EQ(objects_read.count("main"), 1U);
+  EXPECT_EQ(objects_read.count("other"), 1U);
+  EXPECT_EQ(list.reading.objects.back().name, "main");
+}
+
 }  // namespace
 }  // namespace sassafras
