Keep partial lists from spreading between relays

Host 3 sends its whole list at its old position, 3. The host's own partial list is at 13 by then, and it ignores the older push. Host 3 takes the host's push at 13 and counts as partial from then on, though it knew all. Two partial hosts at the same position send each other nothing.

Change: a push from the beginning adds what a partial cache lacks, however old it is, unless the object is known to be gone. A whole list at the same position makes a partial cache whole. A push of a partial host no longer makes a whole cache partial on a host that follows the store: its own watch tells it what that push may lack.

Tests: HostWithAPartialListGetsTheRestFromAnOlderState and PartialCacheDoesNotSpreadToHostsThatFollowTheStore fail with either rule left out.

--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -342,7 +342,10 @@
     ExtendRegistryUnreliable(state_.endpoints, MinUnreliableFor(choice_, now),
                              now);
   const CacheFollow before = PositionsOf(table_);
-  const auto new_items = ApplyPush(table_, push);
+  const auto new_items =
+      ApplyPush(table_, push,
+                choice_.source == FeedSource::kStore ? CacheSource::kStore
+                                                     : CacheSource::kRelays);
   for (const CachePosition& it : before.positions)
     OnNewEra(it.kind, it.as_of, from.value());
   ApplyItems(new_items, from.value());
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -169,6 +169,25 @@
                       });
 }
 
+bool IsKnownToBeGone(const CachedKind& kind, const CacheItem& item) {
+  return std::any_of(
+      kind.removals.begin(), kind.removals.end(), [&](const CacheItem& it) {
+        return it.name == item.name && it.position >= item.position;
+      });
+}
+
+// Adds the objects among `items` that are not cached.
+std::vector<CacheItem> AddMissing(CachedKind& kind,
+                                  const std::vector<CacheItem>& items) {
+  std::vector<CacheItem> applied;
+  for (const CacheItem& it : items) {
+    if (!it.removed && kind.objects.count(it.name) == 0 &&
+        !IsKnownToBeGone(kind, it))
+      ApplyItemTo(kind, it, applied);
+  }
+  return applied;
+}
+
 // The names of all objects that the sender of `span` knows; `items` are those
 // of the span. Nothing if the span does not tell.
 std::optional<std::set<std::string>> NamesIn(
@@ -274,7 +293,9 @@
   return applied;
 }
 
-std::vector<CacheItem> ApplyPush(StoreCache& cache, const CachePush& push) {
+std::vector<CacheItem> ApplyPush(StoreCache& cache,
+                                 const CachePush& push,
+                                 CacheSource source) {
   std::map<std::string, std::vector<CacheItem>> by_kind;
   for (const CacheItem& it : push.items)
     by_kind[it.kind].push_back(it);
@@ -289,11 +310,26 @@
       kind.as_of = {};
       continue;
     }
-    // A lagging sender must not revert newer state.
-    if (span.from > kind.as_of || span.as_of <= kind.as_of)
-      continue;
     const std::vector<CacheItem>& items = by_kind[span.kind];
     const auto names = NamesIn(span, items);
+    const bool shows_all = kind.is_partial && !span.from.is_known() &&
+                           span.as_of.era() == kind.as_of.era();
+    // What exists is known from any sender, as long as no list shows all.
+    if (shows_all && (span.as_of < kind.as_of || !names)) {
+      for (CacheItem& it : AddMissing(kind, items))
+        applied.push_back(std::move(it));
+    }
+    // A lagging sender must not revert newer state.
+    if (span.from > kind.as_of || span.as_of < kind.as_of ||
+        (span.as_of == kind.as_of && !(shows_all && names)))
+      continue;
+    // The store itself will tell what the sender may lack.
+    if (span.is_partial && !kind.is_partial && source == CacheSource::kStore &&
+        span.as_of.era() == kind.as_of.era()) {
+      for (CacheItem& it : ApplyChanges(kind, items))
+        applied.push_back(std::move(it));
+      continue;
+    }
     // What a partial list has left open is settled only by all names.
     const bool replaces_all = span.is_list || (kind.is_partial && names);
     auto part = replaces_all
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -80,12 +80,18 @@
                                         const std::string& kind,
                                         const StoreChange& change);
 
+// Whom the host follows whose cache it is.
+enum class CacheSource { kStore, kRelays };
+
 // Applies a push from another host and returns the items that changed the
 // cache. A span that starts after the cached position is ignored, since changes
 // before it are missing; the sender detects this and sends them again. If the
 // sender knows all objects and the cache does not, the cache gives up its
-// position, so that the sender sends everything.
-std::vector<CacheItem> ApplyPush(StoreCache& cache, const CachePush& push);
+// position, so that the sender sends everything. A sender that does not know
+// all objects does not make the cache of a host partial that follows the store.
+std::vector<CacheItem> ApplyPush(StoreCache& cache,
+                                 const CachePush& push,
+                                 CacheSource source = CacheSource::kRelays);
 
 // Whether the cache is as new as the sender's, after ApplyPush().
 bool IsUpToDate(const StoreCache& cache, const CachePush& push);
--- a/tests/gateway/entry_names_test.cc
+++ b/tests/gateway/entry_names_test.cc
@@ -601,6 +601,30 @@
     EXPECT_TRUE(AllReachedWithin(seconds(5), i));
 }
 
+// Incident 031. No way to go on is valid in this store.
+TEST_F(EntryNamesTest, HostThatStartsLearnsFromOthersWhatItsListsLack) {
+  constexpr int kHosts = 3;
+  AddEndpoints(4);
+  world_.PutConfig(1);
+  StartHosts(kHosts);
+  for (int i = 1; i <= kHosts; ++i)
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, i));
+  StandinListRules rules;
+  rules.page_size = 2;
+  rules.name_reading = StandinNameReading::kRefused;
+  rules.unknown_name = StandinUnknownName::kRefused;
+  world_.store().set_list_rules(rules);
+  for (const char* it : {"i-2&", "i-2+", "i-2#"})
+    world_.store().Put("servers", it, Json{{"service", 5}});
+  for (int i = 0; i < 4; ++i) {
+    world_.StartGateway(kHosts + 1);
+    ASSERT_TRUE(world_.WaitReady(kHosts + 1));
+    EXPECT_TRUE(AllReachedWithin(kApplyTime, kHosts + 1)) << LogOf(kHosts + 1);
+    world_.Signal(kHosts + 1, SIGKILL);
+    ASSERT_TRUE(world_.WaitEnd(kHosts + 1, seconds(2)));
+  }
+}
+
 // Incident 031. As with entries that let the store fail on a page.
 TEST_F(EntryNamesTest, PagesThatFailForGoodDoNotStopService) {
   world_.store().set_page_size(2);
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -375,6 +375,52 @@
   }
 }
 
+// Incident 031. The relay had not followed the store for long when the host
+// asked it.
+TEST(StoreCacheTest, HostWithAPartialListGetsTheRestFromAnOlderState) {
+  StoreCache relay = MakeStoreCache({"k"});
+  ApplyStoreChange(relay, "k",
+                   List({{"k", "a", 2, "1"}, {"k", "b", 3, "2"}}, 3));
+  StoreCache host = MakeStoreCache({"k"});
+  const CachePush push = MakePush(relay, PositionsOf(host), {});
+  ApplyStoreChange(host, "k", PartialList({{"k", "a", 5, "5"}}, 13));
+  // Not before the list: its position is that of the list.
+  const auto applied = ApplyPush(host, push);
+  ASSERT_EQ(applied.size(), 1U);
+  EXPECT_EQ(applied[0].name, "b");
+  EXPECT_EQ(host.kinds["k"].objects["a"].value, "5");
+  EXPECT_EQ(host.kinds["k"].as_of, At(13));
+  EXPECT_TRUE(host.kinds["k"].is_partial);
+  // What is known to be gone does not come back.
+  ApplyStoreChange(host, "k", Change({"k", "b", 0, ""}, 14));
+  EXPECT_TRUE(ApplyPush(host, push).empty());
+  EXPECT_EQ(host.kinds["k"].objects.count("b"), 0U);
+}
+
+// Incident 031. Two hosts follow each other as relays. Else both would count as
+// partial and neither would send what the other one lacks.
+TEST(StoreCacheTest, PartialCacheDoesNotSpreadToHostsThatFollowTheStore) {
+  StoreCache relay = MakeStoreCache({"k"});
+  ApplyStoreChange(relay, "k",
+                   List({{"k", "a", 2, "1"}, {"k", "b", 3, "2"}}, 3));
+  StoreCache host = MakeStoreCache({"k"});
+  ApplyStoreChange(host, "k",
+                   PartialList({{"k", "a", 2, "1"}, {"k", "c", 12, "3"}}, 13));
+  ApplyPush(relay, MakePush(host, PositionsOf(relay), {}), CacheSource::kStore);
+  EXPECT_FALSE(relay.kinds["k"].is_partial);
+  EXPECT_EQ(relay.kinds["k"].as_of, At(3));
+  EXPECT_EQ(relay.kinds["k"].objects.count("c"), 1U);
+  // Its own watch.
+  ApplyStoreChange(relay, "k", Change({"k", "d", 13, "4"}, 13));
+  EXPECT_EQ(relay.kinds["k"].as_of, At(13));
+  CacheFollowers followers;
+  for (int i = 0; i < 2; ++i)
+    ApplyPush(host, OnFollow(followers, relay, kFollower, PositionsOf(host), {},
+                             kStart));
+  EXPECT_FALSE(host.kinds["k"].is_partial);
+  EXPECT_EQ(host.kinds["k"].objects.size(), 4U);
+}
+
 // Incident 031.
 TEST(StoreCacheTest, WholeListAfterAPartialOneReachesFollowers) {
   StoreCache relay = MakeStoreCache({"k"});
