--- a/src/routing/list_reading.h
+++ b/src/routing/list_reading.h
@@ -40,7 +40,9 @@
 
 // How a list goes on behind a page.
 enum class ListWay {
-  kLastName,   // After its last name, which is plain; also: the first page.
+  // After its last name, which is plain, or another plain name that an object
+  // has; also: the first page.
+  kLastName,
   kPlainName,  // After its last plain name, which other names follow.
   // After the next plain name that an object could have. Passes over the names
   // up to it, if the list is in the order of bytes.
