--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -25,7 +25,7 @@
 // once; TEST_NETWORK_OFFSET divides the following ones among the test programs.
 inline int NextLoopbackNetwork() {
   static const char* first = std::getenv("TEST_NETWORK");
-  static int network = (first ? std::atoi(first) : 110) + TEST_NETWORK_OFFSET;
+  static int network = (first ? std::atoi(first) : 20) + TEST_NETWORK_OFFSET;
   if (network > kMaxNetwork) {
     std::cerr << "No loopback network is left for this test.\n";
     std::abort();
