Log and count how long each source takes to deliver a version

Neither logs nor metrics showed which source of a host (the store, one of its relays) delivered a version late; only the first one was logged, without a time.

A line and a histogram for each delivery: an upper bound for the first source, the delay behind it for the others.

--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -23,6 +23,8 @@
 constexpr Duration kOwnHostWriteInterval = std::chrono::milliseconds(10);
 
 constexpr char kMeshDeployment[] = "gateway";
+// Names the store as the source of objects.
+constexpr char kStoreSource[] = "store";
 
 StoreObject ObjectOf(const CacheItem& item) {
   return {item.kind, item.name, item.position.revision(), item.value};
@@ -208,8 +210,10 @@
   const auto new_items = ApplyStoreChange(table_, kind, change);
   if (change.complete || change.is_partial_list)
     LogList(kind, change, before, new_items.size());
-  OnNewEra(kind, before, "store");
-  ApplyItems(new_items, "store");
+  OnNewEra(kind, before, kStoreSource);
+  ApplyItems(new_items, kStoreSource);
+  if (kind == platform::kConfigKind)
+    RecordDelivery(kStoreSource, change.as_of);
   if (new_items.empty() || !IsComplete(table_))
     return;
   for (const AddressedPush& it :
@@ -297,7 +301,7 @@
   const auto oldest = std::min_element(
       followed_at_.begin(), followed_at_.end(),
       [](const auto& a, const auto& b) { return a.second < b.second; });
-  Confirm("store", now - oldest->second);
+  Confirm(kStoreSource, now - oldest->second);
 }
 
 void StoreCacheFeed::Confirm(const std::string& source, Duration age) {
@@ -349,6 +353,11 @@
   for (const CachePosition& it : before.positions)
     OnNewEra(it.kind, it.as_of, from.value());
   ApplyItems(new_items, from.value());
+  for (const CacheSpan& it : push.spans) {
+    if (it.kind == platform::kConfigKind &&
+        it.from <= table_.kinds[it.kind].as_of)
+      RecordDelivery(from.value(), it.as_of);
+  }
   if (!is_of_earlier_era && push.state_age_ms < kUnknownStateAgeMs &&
       IsUpToDate(table_, push))
     Confirm(from.value(), std::chrono::milliseconds(push.state_age_ms));
@@ -382,6 +391,24 @@
   mesh_->SendToAll(to, push);
 }
 
+void StoreCacheFeed::RecordDelivery(const std::string& source,
+                                    const StorePosition& as_of) {
+  const std::string labels =
+      MetricLabel("source", source == kStoreSource ? "store" : "relay");
+  for (const DeliveredVersion& it :
+       OnDelivered(config_delivery_, source, as_of, state_.loop.Now())) {
+    state_.metrics.Observe(
+        "gateway_config_delivery_seconds",
+        labels + (it.is_first ? R"(,order="first")" : R"(,order="later")"),
+        it.time);
+    LogLine(LogLevel::kInfo, "config", "A source delivered a version.")
+        .With("version", it.number)
+        .With("source", source)
+        .With("is_first", it.is_first)
+        .With("ms", Millis(it.time));
+  }
+}
+
 int64_t StoreCacheFeed::StateAgeMs() const {
   return IsConfirmed(state_.freshness)
              ? Millis(state_.loop.Now() - state_.freshness.confirmed_at)
@@ -539,6 +566,10 @@
   state_.source.config_source = source;
   state_.source.config_position = item.position;
   state_.source.config_applied_at = state_.loop.Now();
+  const Time known_since =
+      IsConfirmed(state_.freshness) ? state_.freshness.confirmed_at : started_;
+  OnNewVersion(config_delivery_, state_.config->version, item.position,
+               state_.loop.Now() - known_since, state_.loop.Now());
 }
 
 void StoreCacheFeed::ApplyEvacuation(const CacheItem& item,
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -17,6 +17,7 @@
 
 #include "gateway/gateway_state.h"
 #include "peers/peers.h"
+#include "routing/config_delivery.h"
 #include "routing/relay_choice.h"
 #include "routing/restored_state.h"
 #include "routing/store_cache.h"
@@ -68,6 +69,9 @@
   void OnNewEra(const std::string& kind,
                 const StorePosition& before,
                 const std::string& source);
+  // Records the versions that `source` has delivered with all changes of the
+  // configuration up to `as_of`.
+  void RecordDelivery(const std::string& source, const StorePosition& as_of);
   // Time since the state was last confirmed; -1 if it was not since the start.
   int64_t StateAgeMs() const;
   void OnMessage(const HostId& from, const Message& message);
@@ -102,6 +106,7 @@
   StoreCache table_;
   CacheFollowers followers_;
   RestoredState restored_;
+  ConfigDelivery config_delivery_;
   FeedChoice choice_;
   Time started_;
   Time last_store_answer_;  // From the store to this host.
--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -479,6 +479,26 @@
   EXPECT_TRUE(IsInEffectWithin(kApplyTime));
 }
 
+// Incident 034. Without it, nothing tells which source of a host was late.
+TEST_F(ConfigVersionsTest, HostTellsHowLongEachSourceTookToDeliverAVersion) {
+  StartHosts();
+  PutNextVersion();
+  ASSERT_TRUE(IsInEffectWithin(kApplyTime));
+  Wait(kFirstFollow);
+  const auto has = [&](int host, const std::string& series) {
+    PlatformStandinCaller caller(world_.loop(), world_.OperatorAddressOf(host));
+    caller.Send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    world_.RunUntil(milliseconds(500),
+                    [&] { return !caller.answers().empty(); });
+    return !caller.answers().empty() &&
+           caller.answers()[0].body.find("gateway_config_delivery_seconds_" +
+                                         series) != std::string::npos;
+  };
+  EXPECT_TRUE(has(*relays_.begin(), R"(count{source="store")"));
+  EXPECT_TRUE(has(AnyFollower(), R"(count{source="relay",order="first"})"));
+  EXPECT_TRUE(has(AnyFollower(), R"(count{source="relay",order="later"})"));
+}
+
 // Incident 030. On a kept connection, after the version has applied.
 TEST_F(GatewayTest, KeptConnectionFollowsVersionsThatMoveAddAndDropRoutes) {
   PlatformStandinEndpoint& other = world_.AddEndpoint("bitacora", "cuyo-a");
