Let hosts ask at once for pushes that were lost

Cause: a relay takes a push for lost once the follower has made no progress on its kind for 0.7 s, which it sees at the follow messages of every 0.4 s. Each loss costs 0.8 to 1.2 s, so that two or three in a row, by resets of the relay's connections, keep a version from an undisturbed host for longer than it may take (2 s).

Change: a push that begins behind the follower's position shows the loss. The follower then asks at once, and says which kinds it has lost; the relay sends these again. A relay is asked at most every 0.2 s. Relays and followers of earlier releases ignore the field; the timeout stays for them, and for a loss that no later push shows.

--- a/src/decisions/json_forms.h
+++ b/src/decisions/json_forms.h
@@ -208,11 +208,15 @@
 inline void to_json(Json& json, const CachePosition& position) {
   json = {{"kind", position.kind}};
   WritePosition(json, "as_of", "era", position.as_of);
+  if (position.has_lost_push)
+    json["has_lost_push"] = true;
 }
 
 inline void from_json(const Json& json, CachePosition& position) {
   json.at("kind").get_to(position.kind);
   position.as_of = ReadPosition(json, "as_of", "era");
+  // Followers of earlier versions do not say.
+  position.has_lost_push = json.value("has_lost_push", false);
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CacheFollow, positions)
--- a/src/decisions/messages.h
+++ b/src/decisions/messages.h
@@ -338,6 +338,9 @@
 struct CachePosition {
   std::string kind;
   StorePosition as_of;
+  // In CacheFollow: a push began after `as_of`, so that an earlier one was
+  // lost.
+  bool has_lost_push = false;
 };
 
 // Asks a relay for the changes of the store since these positions. Repeated
--- a/src/gateway/store_cache_feed.cc
+++ b/src/gateway/store_cache_feed.cc
@@ -358,11 +358,26 @@
         it.from <= table_.kinds[it.kind].as_of)
       RecordDelivery(from.value(), it.as_of);
   }
+  AskAgainAfterLoss(from, push);
   if (!is_of_earlier_era && push.state_age_ms < kUnknownStateAgeMs &&
       IsUpToDate(table_, push))
     Confirm(from.value(), std::chrono::milliseconds(push.state_age_ms));
 }
 
+void StoreCacheFeed::AskAgainAfterLoss(const HostId& relay,
+                                       const CachePush& push) {
+  const auto follow = FollowAfterLoss(table_, push);
+  if (!follow || !MayAskAgain(choice_, relay, state_.loop.Now()))
+    return;
+  mesh_->Send(relay, *follow);
+  state_.metrics.Count("gateway_lost_pushes_total", "");
+  LogLine(LogLevel::kInfo, "beliefs",
+          "A push of a relay was lost; asked for it again.")
+      .With("relay", relay)
+      .With("config", state_.config ? state_.config->version : 0)
+      .With("state_age_ms", StateAgeMs());
+}
+
 void StoreCacheFeed::OnStoreReachable(bool reachable) {
   store_reachable_ = reachable;
   if (!reachable)
--- a/src/gateway/store_cache_feed.h
+++ b/src/gateway/store_cache_feed.h
@@ -77,6 +77,9 @@
   void OnMessage(const HostId& from, const Message& message);
   void OnFollowMessage(const HostId& from, const CacheFollow& follow);
   void OnPush(const HostId& from, const CachePush& push);
+  // Asks the relay to send again if `push`, which has been applied, shows that
+  // an earlier one was lost.
+  void AskAgainAfterLoss(const HostId& relay, const CachePush& push);
   void UpdateComplete();
   // `source`: the relay that sent them, or "store".
   void ApplyItems(const std::vector<CacheItem>& items,
--- a/src/routing/relay_choice.cc
+++ b/src/routing/relay_choice.cc
@@ -143,7 +143,7 @@
   for (const HostId& it : relays) {
     const auto known = choice.relays.find(it);
     const bool is_new = known == choice.relays.end();
-    chosen[it] = is_new ? FollowedRelay{now, std::nullopt} : known->second;
+    chosen[it] = is_new ? FollowedRelay{now, std::nullopt, {}} : known->second;
     changed = changed || is_new;
   }
   choice.relays = std::move(chosen);
@@ -223,6 +223,15 @@
     it->second.heard = now;
 }
 
+bool MayAskAgain(FeedChoice& choice, const HostId& relay, Time now) {
+  const auto it = choice.relays.find(relay);
+  if (it == choice.relays.end() ||
+      now - it->second.asked_again_at < kMinAskAgainInterval)
+    return false;
+  it->second.asked_again_at = now;
+  return true;
+}
+
 Duration MinUnreliableFor(const FeedChoice& choice, Time now) {
   std::optional<Duration> minimum;
   for (const auto& [relay, it] : choice.relays) {
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -54,6 +54,7 @@
   // Until then the relay cannot distinguish lapsed records from removed ones.
   // Empty until it has sent a message.
   std::optional<Time> unreliable_until;
+  Time asked_again_at;  // When MayAskAgain() was last true; zero if never.
 };
 
 struct FeedChoice {
@@ -99,6 +100,13 @@
                   Duration unreliable_for,
                   Time now);
 
+// Pushes that follow a lost one closely all show the loss. A relay is asked no
+// more often than this to send again.
+inline constexpr Duration kMinAskAgainInterval = std::chrono::milliseconds(200);
+
+// Whether to ask this relay now for a push that was lost.
+bool MayAskAgain(FeedChoice& choice, const HostId& relay, Time now);
+
 // How much longer a lapsed record does not prove that its endpoint has left:
 // the minimum over all relays. A relay that was disconnected alone must not
 // make the records of other relays count as unreliable. Zero if no relay has
--- a/src/routing/store_cache.cc
+++ b/src/routing/store_cache.cc
@@ -143,6 +143,13 @@
   return {};
 }
 
+bool HasLostPush(const CacheFollow& follow, const std::string& kind) {
+  return std::any_of(follow.positions.begin(), follow.positions.end(),
+                     [&](const CachePosition& it) {
+                       return it.kind == kind && it.has_lost_push;
+                     });
+}
+
 // Whether `a` has a later position than `b` for any kind.
 bool IsAheadOf(const CacheFollow& a, const CacheFollow& b) {
   return std::any_of(a.positions.begin(), a.positions.end(),
@@ -354,6 +361,22 @@
              });
 }
 
+std::optional<CacheFollow> FollowAfterLoss(const StoreCache& cache,
+                                           const CachePush& push) {
+  CacheFollow follow = PositionsOf(cache);
+  bool has_lost_push = false;
+  for (const CacheSpan& span : push.spans) {
+    for (CachePosition& it : follow.positions) {
+      // A host that knows nothing of a kind reads the first list of it.
+      it.has_lost_push =
+          it.has_lost_push ||
+          (it.kind == span.kind && it.as_of.is_known() && span.from > it.as_of);
+      has_lost_push = has_lost_push || it.has_lost_push;
+    }
+  }
+  return has_lost_push ? std::optional(std::move(follow)) : std::nullopt;
+}
+
 bool IsOfEarlierEra(const StoreCache& cache, const CachePush& push) {
   return std::any_of(push.spans.begin(), push.spans.end(),
                      [&](const CacheSpan& span) {
@@ -392,8 +415,9 @@
     const bool has_moved =
         starts_anew || has != PositionOf(acked, position.kind);
     // Progress on other kinds does not show that this kind's push arrived.
-    const bool is_lost =
-        !has_moved && now - it.progressed_at[position.kind] >= kPushRetryDelay;
+    const bool is_lost = HasLostPush(follow, position.kind) ||
+                         (!has_moved && now - it.progressed_at[position.kind] >=
+                                            kPushRetryDelay);
     if (has_moved || is_lost)
       it.progressed_at[position.kind] = now;
     position.as_of = starts_anew || is_lost
--- a/src/routing/store_cache.h
+++ b/src/routing/store_cache.h
@@ -96,6 +96,12 @@
 // Whether the cache is as new as the sender's, after ApplyPush().
 bool IsUpToDate(const StoreCache& cache, const CachePush& push);
 
+// Returns the message that asks the sender of `push`, which has been applied,
+// for what it has sent and this host has not received: a span begins after the
+// cached position. Nothing if no push was lost.
+std::optional<CacheFollow> FollowAfterLoss(const StoreCache& cache,
+                                           const CachePush& push);
+
 // Whether the sender has not met the era of the store that the cache has.
 bool IsOfEarlierEra(const StoreCache& cache, const CachePush& push);
 
@@ -119,13 +125,14 @@
 // A follower that sends no follow message for this long is dropped.
 inline constexpr Duration kFollowerTimeout = std::chrono::seconds(3);
 // If a follower makes no progress on a kind for this long, a push is taken as
-// lost and the kind's changes are sent again. Covers two follow messages.
+// lost and the kind's changes are sent again, even if the follower has not
+// received a later push that shows the loss. Covers two follow messages.
 inline constexpr Duration kPushRetryDelay = std::chrono::milliseconds(700);
 
 using CacheFollowers = std::unordered_map<HostId, CacheFollower>;
 
 // Handles a follow message, which followers repeat; returns the push to answer
-// with.
+// with. It sends again what the follower says it has lost, or seems to have.
 CachePush OnFollow(CacheFollowers& followers,
                    const StoreCache& cache,
                    const HostId& from,
--- a/tests/routing/relay_choice_test.cc
+++ b/tests/routing/relay_choice_test.cc
@@ -367,6 +367,19 @@
   EXPECT_EQ(MinUnreliableFor(choice, kStart), seconds(1));
 }
 
+TEST(RelayChoiceTest, EachRelayIsAskedAgainAtMostOnceInAnInterval) {
+  HostMembers members = View(Follower(), 18, kStart);
+  FeedChoice choice;
+  UpdateFeedChoice(choice, {&members, &kRegions, false, kStart}, kStart);
+  const HostId one = choice.relays.begin()->first;
+  const HostId other = choice.relays.rbegin()->first;
+  EXPECT_TRUE(MayAskAgain(choice, one, kStart));
+  EXPECT_FALSE(MayAskAgain(choice, one, kStart + milliseconds(10)));
+  EXPECT_TRUE(MayAskAgain(choice, other, kStart + milliseconds(10)));
+  EXPECT_TRUE(MayAskAgain(choice, one, kStart + kMinAskAgainInterval));
+  EXPECT_FALSE(MayAskAgain(choice, HostId("not a relay"), kStart));
+}
+
 TEST(RelayChoiceTest, HostWithFollowersFollowsTheStore) {
   HostMembers members = View(Follower(), 18, kStart);
   FeedInput input{&members, &kRegions, false, kStart};
--- a/tests/routing/store_cache_test.cc
+++ b/tests/routing/store_cache_test.cc
@@ -2,8 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
 #include <random>
 
+#include "peers/peers.h"
+
 namespace sassafras {
 namespace {
 
@@ -155,6 +159,94 @@
   EXPECT_LE(now - lost_at, kPushRetryDelay + milliseconds(800));
 }
 
+TEST(StoreCacheTest, FollowMessageTellsOfALostPush) {
+  StoreCache relay = MakeStoreCache({"config", "endpoints"});
+  StoreCache host = MakeStoreCache({"config", "endpoints"});
+  ApplyStoreChange(relay, "config", List({{"config", "a", 5, "1"}}, 5));
+  ApplyStoreChange(relay, "endpoints", List({{"endpoints", "e", 5, "1"}}, 5));
+  // A host that knows nothing yet has lost nothing.
+  EXPECT_FALSE(FollowAfterLoss(
+      host, MakePush(relay, {{{"config", At(5)}, {"endpoints", At(5)}}}, {})));
+  ApplyPush(host, MakePush(relay, {}, Duration(0)));
+  ApplyStoreChange(relay, "config", Change({"config", "a", 7, "2"}, 7));
+  const auto follow = FollowAfterLoss(
+      host, MakePush(relay, {{{"config", At(6)}, {"endpoints", At(5)}}}, {}));
+  ASSERT_TRUE(follow);
+  const auto sent = DecodeMessage(EncodeMessage(*follow));
+  ASSERT_TRUE(sent);
+  const auto* received = std::get_if<CacheFollow>(&sent.value());
+  ASSERT_TRUE(received);
+  for (const CachePosition& it : received->positions) {
+    EXPECT_EQ(it.as_of, At(5));
+    EXPECT_EQ(it.has_lost_push, it.kind == "config");
+  }
+}
+
+// Incident 034. Connections of the relay are reset again and again: the push
+// with a version and the first ones that send it again are lost, while other
+// kinds move. Each loss must cost less than the follower's message period and a
+// half, so that three fit into the shortest time in which a version must be in
+// effect, together with the relay's own delay.
+TEST(StoreCacheTest, ThreeLostPushesInARowDoNotDelayAVersionForLong) {
+  constexpr milliseconds kFollowPeriod{400};
+  constexpr milliseconds kMaxDelay{1500};
+  // The time between the version and the next follow message.
+  for (const milliseconds phase :
+       {milliseconds(0), milliseconds(100), milliseconds(300)}) {
+    SCOPED_TRACE(phase.count());
+    StoreCache relay = MakeStoreCache({"config", "endpoints"});
+    StoreCache host = MakeStoreCache({"config", "endpoints"});
+    CacheFollowers followers;
+    uint64_t revision = 10;
+    Time now = kStart;
+    const auto put = [&](const char* kind) {
+      ++revision;
+      ApplyStoreChange(relay, kind,
+                       Change({kind, "a", revision, "v"}, revision));
+    };
+    int losses = 0;
+    std::function<void(const CacheFollow&)> send_follow;
+    const auto deliver = [&](const CachePush& push) {
+      const bool has_version =
+          std::any_of(push.items.begin(), push.items.end(),
+                      [](const CacheItem& it) { return it.kind == "config"; });
+      if (has_version && losses > 0) {
+        --losses;
+        return;
+      }
+      ApplyPush(host, push);
+      if (const auto again = FollowAfterLoss(host, push))
+        send_follow(*again);
+    };
+    send_follow = [&](const CacheFollow& follow) {
+      deliver(OnFollow(followers, relay, kFollower, follow, Duration(0), now));
+    };
+    put("config");
+    put("endpoints");
+    send_follow(PositionsOf(host));
+    now += kFollowPeriod;
+    put("config");
+    send_follow(PositionsOf(host));
+    losses = 3;
+    put("config");
+    const uint64_t wanted = revision;
+    const Time written_at = now;
+    while (host.kinds["config"].as_of < StorePosition(0, wanted) &&
+           now - written_at < seconds(20)) {
+      if ((now - written_at) % milliseconds(100) == Duration(0)) {
+        put("endpoints");
+        for (const AddressedPush& it :
+             PushToAll(followers, relay, Duration(0), now))
+          deliver(it.push);
+      }
+      now += milliseconds(50);
+      if ((now - written_at + phase) % kFollowPeriod == Duration(0))
+        send_follow(PositionsOf(host));
+    }
+    EXPECT_LE(now - written_at, kMaxDelay);
+  }
+}
+
 // Regression test: a host restarted during a rolling release of endpoints. Its
 // relay assumed that the host had received the steady stream of changes, and
 // did not send again what the host had lost.
