--- a/tests/gateway/config_versions_test.cc
+++ b/tests/gateway/config_versions_test.cc
@@ -479,6 +479,36 @@
   EXPECT_TRUE(IsInEffectWithin(kApplyTime));
 }
 
+// Incident 034. Only the connections of watches fall silent, each time just
+// after a watch has begun; other calls are answered. A watch whose answer is
+// lost must be repeated within the time after which a host counts as
+// undisturbed, less a third of it to pass the change on.
+TEST_F(ConfigVersionsTest, WatchesWhoseConnectionsFallSilentAreRepeatedInTime) {
+  constexpr int kSilences = 4;
+  constexpr milliseconds kMaxPause = 2 * kStableWindow / 3 + milliseconds(100);
+  const auto store =
+      platform::ConnectStore(world_.loop(), world_.StoreAddress());
+  world_.store().Put("k", "o", Json::object());
+  size_t changes = 0;
+  const auto watch =
+      store->Follow("k", {}, [&](const StoreChange&) { ++changes; });
+  ASSERT_TRUE(world_.RunUntil(kAnswerTimeout, [&] { return changes > 0; }));
+  const auto probe = world_.loop().Every(milliseconds(400), [&] {
+    store->List({"probed", {}, ListFreshness::kMayBeStale},
+                [](const StoreReply&) {});
+  });
+  for (int i = 0; i < kSilences; ++i) {
+    SCOPED_TRACE(i);
+    const Time begun = world_.loop().Now();
+    EXPECT_TRUE(world_.RunUntil(kAnswerTimeout + kAnswerTimeout, [&] {
+      return world_.store().SilenceWatches() > 0;
+    }));
+    const Duration pause = world_.loop().Now() - begun;
+    std::cout << "watch after " << Millis(pause) << " ms\n";
+    EXPECT_LE(pause, kMaxPause);
+  }
+}
+
 // Incident 034. Without it, nothing tells which source of a host was late.
 TEST_F(ConfigVersionsTest, HostTellsHowLongEachSourceTookToDeliverAVersion) {
   StartHosts();
--- a/tests/standins/platform_world.cc
+++ b/tests/standins/platform_world.cc
@@ -217,6 +217,15 @@
     it->drops_events = true;
 }
 
+size_t PlatformStandinStore::SilenceWatches() {
+  const auto silenced = std::exchange(pending_watches_, {});
+  for (const auto& it : silenced) {
+    it->session->set_on_disconnect(nullptr);
+    unanswered_.push_back(it->session);
+  }
+  return silenced.size();
+}
+
 void PlatformStandinStore::DropHistory() {
   events_.clear();
   history_from_ = revision_ + 1;
--- a/tests/standins/platform_world.h
+++ b/tests/standins/platform_world.h
@@ -94,6 +94,9 @@
   // The watches that wait now receive no further events. They are answered at
   // their timeout, with the revision at which they started.
   void DropWatchEvents();
+  // The connections of the watches that wait now fall silent: these are never
+  // answered. Returns how many there were.
+  size_t SilenceWatches();
   // Drops the history of changes. A later watch that starts from an earlier
   // revision is answered 410 (Gone).
   void DropHistory();
