--- a/tests/gateway/version_spread_test.cc
+++ b/tests/gateway/version_spread_test.cc
@@ -27,7 +27,8 @@
 // Until the newest version is due and faults before it no longer count.
 constexpr milliseconds kAfterStorm{4000};
 
-// From VERSION_PLAY_SEED, for plays by hand.
+// Draws the hosts and connections that are hit; from VERSION_PLAY_SEED, for
+// plays by hand.
 uint64_t Seed() {
   const char* text = std::getenv("VERSION_PLAY_SEED");
   return text ? std::strtoull(text, nullptr, 10) : 1;
@@ -65,6 +66,7 @@
   play_.ReleaseAt(milliseconds(0), 18);
   for (const seconds at : {seconds(1), seconds(10)}) {
     play_.StormAt(at);
+    play_.EvacuateAt(at + seconds(1), seconds(2));
     for (int i = 0; i < 4; ++i) {
       play_.At(at + milliseconds(300) + i * seconds(1),
                [this] { play_.ResetConnections(play_.DrawHosts(0.35), 0.55); });
