Fault proxy: deliver what was sent late before the connection ends

Cause: the proxy closed both ends as soon as one ended, while what that end had sent was still delayed.

Change: the end is passed on after the delayed data. The plays of versions now have 35 ms between two thirds of the hosts and the store.

--- a/tests/gateway/version_play.cc
+++ b/tests/gateway/version_play.cc
@@ -40,6 +40,8 @@
 constexpr milliseconds kDrainTime{2000};
 constexpr milliseconds kTickPeriod{25};
 constexpr seconds kSettleTime{6};
+// One way, between a host of another region and the store.
+constexpr milliseconds kRegionDelay{35};
 // A host that others have chosen for a moment follows the store for seconds.
 constexpr seconds kMaxSettleTime{20};
 // Versions that keep a route after the one that added it. More than are written
@@ -99,6 +101,8 @@
     const Address listen = world_.HostAddress(it, kProxyPort);
     proxies_.push_back(std::make_unique<FaultProxy>(world_.loop(), listen,
                                                     world_.StoreAddress()));
+    proxies_.back()->set_delay(kRegionDelay);
+    proxies_.back()->set_mode(ModeWithoutFault(it));
     world_.SetStoreAddress(it, listen);
     world_.StartGateway(it);
   }
@@ -117,6 +121,11 @@
   });
 }
 
+ProxyMode VersionPlay::ModeWithoutFault(int host) const {
+  return world_.ZoneOf(host) == kStandinZones[0].zone ? ProxyMode::kPass
+                                                      : ProxyMode::kDelay;
+}
+
 std::string VersionPlay::FeedOf(int host) {
   PlatformStandinCaller caller(world_.loop(), world_.OperatorAddressOf(host));
   caller.Send("GET /state HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -301,7 +310,7 @@
 
 void VersionPlay::EndCuts() {
   for (const int it : std::exchange(cut_, {})) {
-    proxies_[static_cast<size_t>(it - 1)]->set_mode(ProxyMode::kPass);
+    proxies_[static_cast<size_t>(it - 1)]->set_mode(ModeWithoutFault(it));
     Disturb(it);
   }
 }
--- a/tests/gateway/version_play.h
+++ b/tests/gateway/version_play.h
@@ -140,6 +140,8 @@
                        int status,
                        const std::string& service) const;
   std::string FeedOf(int host);
+  // Of its way to the store, which is in the region of the first zone.
+  ProxyMode ModeWithoutFault(int host) const;
 
   PlatformWorld& world_;
   std::mt19937_64 random_;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -63,8 +63,16 @@
     };
     // A link that is cut passes no end on either.
     out.on_end = [this, link, &from](StreamEnd) {
-      if (!from.is_lossy && !IsCut(&from == &link->user))
+      if (from.is_lossy || IsCut(&from == &link->user))
+        return;
+      const Duration left = from.due - loop_.Now();
+      if (left <= Duration(0)) {
         Close(link);
+        return;
+      }
+      // What it has sent arrives before its end.
+      link->delayed.push_back(
+          loop_.After(left + kMinGap, [this, link] { Close(link); }));
     };
     return out;
   };
