--- a/tests/gateway/version_play.h
+++ b/tests/gateway/version_play.h
@@ -91,7 +91,16 @@
   VersionReport TakeReport();
 
  private:
-  enum class Probe { kAdded, kSpread, kDropped, kMoved, kFirst, kSplit, kSlow };
+  // By the route that a request is on.
+  enum class Probe {
+    kAdded,    // Of the newest version that is due.
+    kSpread,   // Of the oldest version that the host has not shown.
+    kDropped,  // Dropped by the newest version that is due.
+    kMoved,    // Goes to another service with each version.
+    kFirst,    // In all versions, alike.
+    kSplit,
+    kSlow,  // Its endpoints answer after the route's timeout.
+  };
   struct Request {
     std::string id;
     int host = 0;
